--- a/src/bin/hollycross-benchlink/facts.rs
+++ b/src/bin/weldhub-adapter/facts.rs
@@ -1,6 +1,6 @@
 //! Reads the settings text (`path=value`, one a line) into [`Settings`]; keys it does not know are skipped.
 
-use hollycross::interface::{
+use weldhub::interface::{
     Class, ColdStart, Effect, GatewayId, Group, Plan, Settings, SettingsError, ZoneId,
 };
 use std::collections::BTreeMap;
--- a/src/bin/hollycross-benchlink/main.rs
+++ b/src/bin/weldhub-adapter/main.rs
@@ -7,7 +7,7 @@
 
 mod wire;
 
-use hollycross::{Action, Event, Limiter};
+use weldhub::{Action, Event, Limiter};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
@@ -101,7 +101,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("hollycross-benchlink: {message}");
+            eprintln!("weldhub-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/hollycross-benchlink/tests.rs
+++ b/src/bin/weldhub-adapter/tests.rs
@@ -1,7 +1,7 @@
 //! The wire's documented frames, and malformed ones.
 
 use super::*;
-use hollycross::interface::*;
+use weldhub::interface::*;
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
--- a/src/bin/hollycross-benchlink/wire.rs
+++ b/src/bin/weldhub-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! The codec of the wire: big-endian records without padding.
 
-use hollycross::interface::*;
+use weldhub::interface::*;
 use std::fmt;
 
 /// A frame that cannot be read: what is wrong, in which record and where in the frame.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use hollycross::interface::*;
-use hollycross::{Action, Event, Limiter, Settings};
+use weldhub::interface::*;
+use weldhub::{Action, Event, Limiter, Settings};
 
 /// A peer's report as it goes over the wire: incarnation, then customer, drawn, asked (in quarters), out.
 fn report(incarnation: u8, lines: &[[u64; 4]]) -> Vec<u8> {
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use hollycross::interface::*;
-use hollycross::{Action, Event};
+use weldhub::interface::*;
+use weldhub::{Action, Event};
 
 fn quiet() -> Bench {
     Bench::new(settings(Plan { rate: 1000.0, burst: 1e6, ..Plan::default() }), 10)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A limiter under test, its settings and a clock; every seed is fixed.
 #![allow(dead_code)]
 
-use hollycross::interface::*;
-use hollycross::{Action, Event, Limiter, Settings};
+use weldhub::interface::*;
+use weldhub::{Action, Event, Limiter, Settings};
 
 pub const AIM: f64 = 500.0;
 
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use hollycross::interface::*;
-use hollycross::{Action, Event, Limiter, Settings};
+use weldhub::interface::*;
+use weldhub::{Action, Event, Limiter, Settings};
 use std::collections::BTreeMap;
 
 const MANY: u16 = 300;
