--- a/src/bin/weldhub-adapter/facts.rs
+++ b/src/bin/weldhub-adapter/facts.rs
@@ -1,10 +1,8 @@
 //! Reads the settings text (`path=value`, one a line) into [`Settings`]; keys it does not know are skipped.
 
-use weldhub::interface::{
-    Class, ColdStart, Effect, GatewayId, Group, Plan, Settings, SettingsError, ZoneId,
-};
 use std::collections::BTreeMap;
 use std::str::FromStr;
+use weldhub::interface::{Class, ColdStart, Effect, GatewayId, Group, Plan, Settings, SettingsError, ZoneId};
 
 struct Facts<'a>(BTreeMap<&'a str, &'a str>);
 
--- a/src/bin/weldhub-adapter/main.rs
+++ b/src/bin/weldhub-adapter/main.rs
@@ -7,10 +7,10 @@
 
 mod wire;
 
-use weldhub::{Action, Event, Limiter};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
+use weldhub::{Action, Event, Limiter};
 use wire::{Reader, Record, Reply};
 
 /// Bytes of a frame before its records: count, length, clock.
--- a/src/bin/weldhub-adapter/wire.rs
+++ b/src/bin/weldhub-adapter/wire.rs
@@ -1,7 +1,7 @@
 //! The codec of the wire: big-endian records without padding.
 
-use weldhub::interface::*;
 use std::fmt;
+use weldhub::interface::*;
 
 /// A frame that cannot be read: what is wrong, in which record and where in the frame.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
+use std::collections::VecDeque;
 use weldhub::interface::*;
 use weldhub::{Action, Event, Limiter, Settings};
-use std::collections::VecDeque;
 
 const GATEWAYS: u16 = 130;
 const SERVERS: u64 = 20;
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
+use std::collections::BTreeMap;
 use weldhub::interface::*;
 use weldhub::{Action, Event, Limiter, Settings};
-use std::collections::BTreeMap;
 
 const MANY: u16 = 300;
 
