--- a/src/bin/weldhub-adapter/main.rs
+++ b/src/bin/weldhub-adapter/main.rs
@@ -1,7 +1,6 @@
 //! Puts the decisions on the simulator's wire: reads batches on standard input, keeps one limiter for each
 //! instance number and writes the actions on standard output. It translates and decides nothing.
 
-mod facts;
 #[cfg(test)]
 mod tests;
 
@@ -10,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
+use weldhub::config::{Pairs, Site};
 use weldhub::{Action, Event, Limiter};
 use wire::{Reader, Record, Reply};
 
@@ -46,9 +46,9 @@
                     continue;
                 }
                 Record::Configure(seed, text) => {
-                    let (settings, names) = facts::read(&text).map_err(|e| e.to_string())?;
-                    let limiter = Limiter::new(settings, seed).map_err(|e| e.to_string())?;
-                    self.instances.insert(current, (limiter, names));
+                    let site = Site::read(&Pairs::from_text(&text)).map_err(|e| e.to_string())?;
+                    let limiter = Limiter::new(site.settings, seed).map_err(|e| e.to_string())?;
+                    self.instances.insert(current, (limiter, site.load_names));
                     Event::Start
                 }
                 Record::Happened(event) => event,
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,354 @@
+//! The one place where configuration is read, checked and given its defaults: the environment, the platform's
+//! JSON, an operator's TOML and the simulator's text all become pairs of path and value first.
+
+use crate::interface::{Class, ColdStart, Effect, GatewayId, Group, Millis, Plan, Settings, ZoneId};
+use crate::net::discovery::List;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// What is wrong with the configuration; it names the key at fault.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigError(pub String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}", self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn unreadable(key: &str, text: &str) -> ConfigError {
+    ConfigError(format!("cannot read {key}={text}"))
+}
+
+/// Settings as pairs of path and value; keys that nobody asks for are ignored.
+#[derive(Debug, Clone, Default)]
+pub struct Pairs(BTreeMap<String, String>);
+
+impl Pairs {
+    /// Reads `path=value` lines, as the simulator sends them.
+    pub fn from_text(text: &str) -> Self {
+        let pairs = text.lines().filter_map(|line| line.split_once('='));
+        Self(pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect())
+    }
+
+    /// Flattens nested JSON into the same form.
+    pub fn from_json(value: &Value) -> Self {
+        let mut pairs = Self::default();
+        pairs.flatten(String::new(), value);
+        pairs
+    }
+
+    /// Reads an operator's TOML file.
+    pub fn from_toml(text: &str) -> Result<Self, ConfigError> {
+        let value: Value = toml::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        Ok(Self::from_json(&value))
+    }
+
+    fn flatten(&mut self, path: String, value: &Value) {
+        let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+        let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+        match value {
+            Value::Null => {}
+            Value::Object(fields) => fields.iter().for_each(|(name, v)| self.flatten(under(name), v)),
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(under("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(i, item)| self.flatten(under(&i.to_string()), item));
+            }
+            Value::Array(items) => {
+                drop(self.0.insert(path, items.iter().map(text).collect::<Vec<_>>().join(",")))
+            }
+            plain => drop(self.0.insert(path, text(plain))),
+        }
+    }
+
+    /// The value of a key, where it is set.
+    pub fn get<T: FromStr>(&self, key: &str) -> Result<Option<T>, ConfigError> {
+        let Some(text) = self.0.get(key).map(|text| text.trim()) else { return Ok(None) };
+        // JSON and TOML may write a whole number with a fraction of 0.
+        let whole = text.strip_suffix(".0").unwrap_or(text);
+        let value = text.parse().or_else(|_| whole.parse());
+        value.map(Some).map_err(|_| unreadable(key, text))
+    }
+
+    /// The value of a key that must be set.
+    pub fn need<T: FromStr>(&self, key: &str) -> Result<T, ConfigError> {
+        self.get(key)?.ok_or_else(|| ConfigError(format!("{key} is missing")))
+    }
+
+    /// The value of a key, or the wire's own default: what is absent is zero, or false.
+    pub fn opt<T: FromStr + Default>(&self, key: &str) -> Result<T, ConfigError> {
+        Ok(self.get(key)?.unwrap_or_default())
+    }
+
+    /// A list of plain values.
+    pub fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>, ConfigError> {
+        let text: String = self.opt(key)?;
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
+        items.map(|item| item.parse().map_err(|_| unreadable(key, item))).collect()
+    }
+
+    fn class(&self, i: usize) -> Result<Class, ConfigError> {
+        let key = |name: &str| format!("classes.{i}.{name}");
+        let effect: String = self.need(&key("effect"))?;
+        let effect = match effect.as_str() {
+            "read_like" => Effect::Safe,
+            "non_idempotent" => Effect::Unsafe,
+            "idempotency_key" => {
+                let group: String = self.need(&key("group"))?;
+                let group = match group.as_str() {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    "cell" => Group::Cell,
+                    _ => return Err(unreadable(&key("group"), &group)),
+                };
+                Effect::Keyed { group, window: self.need(&key("window"))? }
+            }
+            _ => return Err(unreadable(&key("effect"), &effect)),
+        };
+        Ok(Class { aim: self.need(&key("aim"))?, effect })
+    }
+
+    fn plan(&self, i: usize) -> Result<Plan, ConfigError> {
+        let key = |name: &str| format!("tariffs.{i}.{name}");
+        Ok(Plan {
+            rate: self.need(&key("perSecond"))?,
+            burst: self.need(&key("storeSize"))?,
+            open_cap: self.need(&key("atOnce"))?,
+            ceiling_rate: self.need(&key("ceilingRate"))?,
+            ceiling_burst: self.need(&key("neverOverDepth"))?,
+            extra_worth: self.opt(&key("extraWorth"))?,
+            excess_cost: self.opt(&key("excessCost"))?,
+        })
+    }
+}
+
+/// What a front knows of a class beside what the decisions need.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClassInfo {
+    /// Its name.
+    pub name: String,
+    /// The longest a client waits.
+    pub give_up: Millis,
+    /// A flow of it carries an idempotency key.
+    pub keyed: bool,
+}
+
+/// The settings of a deployment, as the decisions and the network code need them.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// What the decisions know.
+    pub settings: Settings,
+    /// The names of the load report's values, in their order.
+    pub load_names: Vec<String>,
+    /// The classes, in the order of their ids.
+    pub classes: Vec<ClassInfo>,
+    /// The plans by name, as their places.
+    pub plans: HashMap<String, usize>,
+    /// The zones by name.
+    pub zones: Vec<String>,
+    /// The kinds of machine by name.
+    pub kinds: Vec<String>,
+    /// Real servers close a connection that was idle for this long.
+    pub conn_idle: Millis,
+    /// A connection that is not up by then never will be.
+    pub connect_timeout: Millis,
+    /// The longest that a turned-down client is told to keep away.
+    pub max_retry_after: Millis,
+}
+
+/// Where the settings say nothing.
+const CONN_IDLE: Millis = 30_000.0;
+const CONNECT_TIMEOUT: Millis = 250.0;
+const MAX_RETRY_AFTER: Millis = 1000.0;
+const GIVE_UP: Millis = 10_000.0;
+
+impl Site {
+    /// Reads the settings; keys it does not know are skipped.
+    pub fn read(pairs: &Pairs) -> Result<Self, ConfigError> {
+        let classes: usize = pairs.need("classes.count")?;
+        let plans: usize = pairs.opt("tariffs.count")?;
+        let advice: bool = pairs.opt("limits.retryAfter")?;
+        let mode: String = pairs.need("membershipMode")?;
+        let settings = Settings {
+            me: GatewayId(pairs.need("myNumber")?),
+            gateways: pairs.need("balancers")?,
+            zone: ZoneId(pairs.opt("zone")?),
+            classes: (0..classes).map(|i| pairs.class(i)).collect::<Result<_, _>>()?,
+            plans: (0..plans).map(|i| pairs.plan(i)).collect::<Result<_, _>>()?,
+            largest: pairs.opt("familyInfo.largest")?,
+            settles: pairs.opt("familyInfo.truedUp")?,
+            meter_period: pairs.opt("familyInfo.usePeriod")?,
+            counter: pairs.opt("familyInfo.hasCounter")?,
+            counter_timeout: pairs.opt("familyInfo.counterTimeout")?,
+            peers: pairs.opt("limits.mayTell")?,
+            mail_per_second: pairs.opt("familyInfo.mailPerS")?,
+            max_attempts: pairs.need("limits.maxAttempts")?,
+            second_copies: pairs.opt("limits.secondCopies")?,
+            cancelling: pairs.opt("limits.cancelling")?,
+            max_retry_after: if advice { pairs.opt("limits.maxRetryAfter")? } else { 0.0 },
+            list_on_request: mode == "on_request",
+            cold: ColdStart {
+                from: pairs.need("rules.coldFrom")?,
+                warm_after: pairs.need("rules.cold")?,
+                fall_multiple: pairs.need("rules.fallMultiple")?,
+                fall_window: pairs.need("rules.overloadFor")?,
+            },
+            zone_price: pairs.opt::<f64>("prices.crossZone")? > 0.0,
+        };
+        settings.check().map_err(|e| ConfigError(e.to_string()))?;
+        let class = |i: usize| {
+            let key = |name: &str| format!("classes.{i}.{name}");
+            Ok(ClassInfo {
+                name: pairs.get(&key("name"))?.unwrap_or_else(|| i.to_string()),
+                give_up: pairs.get(&key("giveUp"))?.unwrap_or(GIVE_UP),
+                keyed: matches!(settings.classes[i].effect, Effect::Keyed { .. }),
+            })
+        };
+        let plan = |i: usize| {
+            let name: Option<String> = pairs.get(&format!("tariffs.{i}.name"))?;
+            Ok((name.unwrap_or_else(|| i.to_string()), i))
+        };
+        let positive = |key: &str, otherwise: Millis| match pairs.get::<Millis>(key)?.unwrap_or(otherwise) {
+            span if span.is_finite() && span > 0.0 => Ok(span),
+            _ => Err(ConfigError(format!("{key} must be above 0"))),
+        };
+        Ok(Self {
+            classes: (0..classes).map(class).collect::<Result<_, _>>()?,
+            plans: (0..plans).map(plan).collect::<Result<_, _>>()?,
+            load_names: pairs.list("feedback.names")?,
+            zones: pairs.list("zones")?,
+            kinds: pairs.list("flavors")?,
+            conn_idle: positive("limits.connIdle", CONN_IDLE)?,
+            connect_timeout: positive("limits.connectTimeout", CONNECT_TIMEOUT)?,
+            max_retry_after: positive("limits.maxRetryAfter", MAX_RETRY_AFTER)?,
+            settings,
+        })
+    }
+
+    /// The same, for a daemon: its clients are always told when to come back, also where the settings say
+    /// that the simulator's are not, since a turned-down flow is answered at once.
+    pub fn with_advice(mut self) -> Self {
+        self.settings.max_retry_after = self.max_retry_after;
+        self
+    }
+}
+
+/// What an ingress on the platform is told.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery's agent.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Limits that the machine sets.
+    pub limits: Limits,
+    /// Where messages of peers arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// The peers, this ingress included, by their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// The shared counter.
+    pub counter: Option<SocketAddr>,
+    /// The list as this ingress last had it.
+    pub known: List,
+    /// The settings.
+    pub site: Site,
+}
+
+/// Limits that the machine sets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Over this the process is killed.
+    pub memory_mb: usize,
+    /// File descriptors it may hold.
+    pub sockets: usize,
+}
+
+/// The least that the program can work within.
+const LEAST: Limits = Limits { memory_mb: 32, sockets: 64 };
+/// What it takes where nothing is told: the limits of scored days.
+const USUAL: Limits = Limits { memory_mb: 192, sockets: 1024 };
+/// Client connections get this share of the descriptors, real servers' connections this; the rest is reserve
+/// for listeners, discovery, the counter, peers and the runtime.
+const SHARES: [f64; 2] = [0.55, 0.35];
+/// What a connection may hold at the most: a message with its head, twice.
+const CONNECTION_BYTES: usize = 2 * 80 * 1024;
+
+impl Limits {
+    fn read(pairs: &Pairs, prefix: &str) -> Result<Self, ConfigError> {
+        let at_least = |name: &str, usual: usize, least: usize| {
+            let key = format!("{prefix}.{name}");
+            match pairs.get(&key)?.unwrap_or(usual) {
+                n if n >= least => Ok(n),
+                n => Err(ConfigError(format!("{key}={n} is below the {least} that the program needs"))),
+            }
+        };
+        let memory_mb = at_least("memory_mb", USUAL.memory_mb, LEAST.memory_mb)?;
+        Ok(Self { memory_mb, sockets: at_least("sockets", USUAL.sockets, LEAST.sockets)? })
+    }
+
+    /// The most connections of clients and to real servers: both what descriptors and what memory allows, with
+    /// half the memory left for all else.
+    pub fn connections(&self) -> [usize; 2] {
+        let by_memory = (self.memory_mb << 20) / 2 / CONNECTION_BYTES;
+        SHARES.map(|share| ((self.sockets.min(by_memory) as f64) * share) as usize)
+    }
+}
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path =
+            std::env::var("RELAY_CONFIG").map_err(|_| ConfigError("RELAY_CONFIG is not set".into()))?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|e| ConfigError(format!("RELAY_CONFIG={path} cannot be read: {e}")))?;
+        Self::read(&text, |name| std::env::var(name).ok())
+    }
+
+    /// Reads the JSON text; what the environment says goes before it.
+    pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let json: Value = serde_json::from_str(text).map_err(|e| ConfigError(format!("not JSON: {e}")))?;
+        let mut pairs = Pairs::from_json(&json);
+        for (name, key) in
+            [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")]
+        {
+            if let Some(value) = env(name) {
+                pairs.0.insert(key.to_owned(), value);
+            }
+        }
+        let settings = json.get("settings").ok_or_else(|| ConfigError("settings is missing".into()))?;
+        let site = Site::read(&Pairs::from_json(settings))
+            .map_err(|e| ConfigError(format!("settings: {}", e.0)))?
+            .with_advice();
+        let seed: String = pairs.need("seed")?;
+        let peers: Vec<SocketAddr> = pairs.list("peers")?;
+        let config = Self {
+            name: pairs.need("name")?,
+            listen: pairs.need("listen")?,
+            discovery: pairs.need("discovery")?,
+            seed: u64::from_str_radix(&seed, 16).map_err(|_| unreadable("seed", &seed))?,
+            limits: Limits::read(&pairs, "limits")?,
+            peer_listen: pairs.get("peer_listen")?,
+            counter: pairs.get("counter")?,
+            known: match json.get("known") {
+                Some(known) => List::read(known, &site).map_err(|e| ConfigError(format!("known: {e}")))?,
+                None => List::default(),
+            },
+            peers,
+            site,
+        };
+        if config.site.settings.peers && config.peers.len() != usize::from(config.site.settings.gateways) {
+            let (have, want) = (config.peers.len(), config.site.settings.gateways);
+            return Err(ConfigError(format!("peers lists {have} addresses, settings.balancers says {want}")));
+        }
+        Ok(config)
+    }
+}
--- /dev/null
+++ b/src/deadlines.rs
@@ -0,0 +1,200 @@
+//! The clock, and the one sorted structure that holds all deadlines; the engine sweeps it each turn.
+
+use crate::interface::{AttemptNo, Millis, RequestId, TimerKey};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::Notify;
+
+/// A clock that tells Unix milliseconds and only moves forward, whatever is done to the system's.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+    unix: Millis,
+}
+
+impl Clock {
+    /// A clock set by the system's.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { origin: Instant::now(), unix: unix.as_secs_f64() * 1000.0 }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.unix + self.origin.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What a deadline is for.
+#[derive(Debug)]
+pub enum Due {
+    /// The flow must have its final answer.
+    Flow(RequestId),
+    /// The scheduling is given up.
+    Scheduling(RequestId, AttemptNo),
+    /// A timer of the decisions.
+    Timer(TimerKey),
+    /// A call to the counter is taken for unanswered.
+    Call(u64),
+    /// A task of the network code sleeps until then.
+    Wake(Waker),
+}
+
+/// The place of a deadline, for taking it back.
+pub type Key = (u64, u64);
+
+#[derive(Debug, Default)]
+struct Sorted {
+    due: BTreeMap<Key, Due>,
+    next: u64,
+}
+
+/// All deadlines of a process.
+#[derive(Debug, Clone)]
+pub struct Deadlines {
+    clock: Clock,
+    sorted: Rc<RefCell<Sorted>>,
+    earlier: Rc<Notify>,
+}
+
+fn micros(at: Millis) -> u64 {
+    (at.max(0.0) * 1000.0) as u64
+}
+
+impl Deadlines {
+    /// None yet.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, sorted: Rc::default(), earlier: Rc::default() }
+    }
+
+    /// The clock they go by.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Adds one.
+    pub fn add(&self, at: Millis, due: Due) -> Key {
+        let mut sorted = self.sorted.borrow_mut();
+        sorted.next += 1;
+        let key = (micros(at), sorted.next);
+        // Prevents the engine from oversleeping a deadline that came while it slept.
+        if sorted.due.first_key_value().is_none_or(|(first, _)| key < *first) {
+            self.earlier.notify_one();
+        }
+        sorted.due.insert(key, due);
+        key
+    }
+
+    /// Takes one back.
+    pub fn remove(&self, key: Key) {
+        self.sorted.borrow_mut().due.remove(&key);
+    }
+
+    /// Takes out all that are due at `now`, in order; sleepers are woken and not told.
+    pub fn sweep(&self, now: Millis) -> Vec<Due> {
+        let mut sorted = self.sorted.borrow_mut();
+        let later = sorted.due.split_off(&(micros(now) + 1, 0));
+        let due = std::mem::replace(&mut sorted.due, later);
+        drop(sorted);
+        let wake = |due| match due {
+            Due::Wake(waker) => {
+                waker.wake();
+                None
+            }
+            other => Some(other),
+        };
+        due.into_values().filter_map(wake).collect()
+    }
+
+    /// Waits until the first is due, also where an earlier one is added meanwhile.
+    pub async fn first_due(&self) {
+        loop {
+            let first = self.sorted.borrow().due.first_key_value().map(|(key, _)| key.0);
+            let wait = first.map(|at| at.saturating_sub(micros(self.clock.now())));
+            match wait {
+                Some(0) => return,
+                Some(wait) => tokio::select! {
+                    () = tokio::time::sleep(Duration::from_micros(wait)) => {}
+                    () = self.earlier.notified() => {}
+                },
+                None => self.earlier.notified().await,
+            }
+        }
+    }
+
+    /// Sleeps for a span.
+    pub fn sleep(&self, span: Millis) -> Sleep {
+        Sleep { deadlines: self.clone(), at: self.clock.now() + span, key: None }
+    }
+
+    /// What the future gives, or none where it takes longer than a span.
+    pub async fn within<F: Future>(&self, span: Millis, future: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            () = self.sleep(span) => None,
+        }
+    }
+}
+
+/// A sleep that the sweep ends.
+#[derive(Debug)]
+pub struct Sleep {
+    deadlines: Deadlines,
+    at: Millis,
+    key: Option<Key>,
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        self.key.take().inspect(|key| self.deadlines.remove(*key));
+        if self.deadlines.clock.now() >= self.at {
+            return Poll::Ready(());
+        }
+        self.key = Some(self.deadlines.add(self.at, Due::Wake(cx.waker().clone())));
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        self.key.inspect(|key| self.deadlines.remove(*key));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_sweep_takes_what_is_due_in_order_and_leaves_the_rest() {
+        let deadlines = Deadlines::new(Clock::new());
+        let timer = |n| Due::Timer(TimerKey(n));
+        deadlines.add(30.0, timer(3));
+        deadlines.add(10.0, timer(1));
+        deadlines.add(10.0, timer(2));
+        let taken_back = deadlines.add(10.0, timer(9));
+        deadlines.add(30.1, timer(4));
+        deadlines.remove(taken_back);
+        let keys = |now| -> Vec<u32> {
+            let due = deadlines.sweep(now).into_iter();
+            due.filter_map(|due| if let Due::Timer(TimerKey(n)) = due { Some(n) } else { None }).collect()
+        };
+        assert_eq!(keys(9.9), []);
+        assert_eq!(keys(30.0), [1, 2, 3]);
+        assert_eq!(keys(1e9), [4]);
+    }
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,329 @@
+//! The core: feeds the decisions each turn's events and carries out their actions. It knows no wire. It sees to
+//! it that every flow gets one final answer, before its deadline.
+
+use crate::deadlines::{Deadlines, Due, Key};
+use crate::exchange::{Call, News, Order, Report, Verdict};
+use crate::interface::*;
+use crate::net::discovery::List;
+use crate::state::Limiter;
+use slog::{Logger, debug, warn};
+use std::collections::{HashMap, VecDeque};
+use tokio::sync::{mpsc, oneshot};
+
+/// Before a flow's deadline its schedulings end, so that the decisions can still answer ...
+const SLACK: Millis = 20.0;
+/// ... and by then, whatever they do, it has its answer, with time left to write it.
+const GUARD: Millis = 10.0;
+/// Short deadlines give up no more than this part of their time for either.
+const SLACK_PART: f64 = 0.2;
+
+/// Where the engine's actions go.
+#[derive(Debug)]
+pub struct Outlets<Q> {
+    /// To the client side.
+    pub orders: mpsc::UnboundedSender<Order<Q>>,
+    /// To the counter, where there is one.
+    pub counter: Option<mpsc::UnboundedSender<Call>>,
+    /// To the peers, where messages are allowed.
+    pub peers: Option<mpsc::UnboundedSender<(GatewayId, Vec<u8>)>>,
+}
+
+/// Bounds of the engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// The most flows at once; more are turned away unseen.
+    pub flows: usize,
+    /// The most schedulings of a flow.
+    pub schedulings: u16,
+    /// A call to the counter that is not answered by then is taken for unanswered.
+    pub counter_timeout: Millis,
+    /// When a turned-down client is to come back where the decisions do not say.
+    pub retry_after: Millis,
+}
+
+#[derive(Debug)]
+struct Scheduling {
+    no: AttemptNo,
+    server: ServerId,
+    sent: Millis,
+    deadline: Key,
+}
+
+#[derive(Debug)]
+struct Flow<Q, A> {
+    question: Q,
+    /// Whom to answer; gone once it is over.
+    client: Option<oneshot::Sender<Verdict<A>>>,
+    /// When the last scheduling ends.
+    until: Millis,
+    guard: Key,
+    started: u16,
+    out: Vec<Scheduling>,
+    timed_out: bool,
+}
+
+/// The engine of one ingress.
+pub struct Engine<Q, A> {
+    limiter: Limiter,
+    deadlines: Deadlines,
+    news: mpsc::UnboundedReceiver<News<Q, A>>,
+    outlets: Outlets<Q>,
+    bounds: Bounds,
+    flows: HashMap<RequestId, Flow<Q, A>>,
+    calls: HashMap<u64, CounterName>,
+    next_call: u64,
+    now: Millis,
+    /// Events that actions bring about at once.
+    own: VecDeque<Event>,
+    log: Logger,
+}
+
+impl<Q: Clone, A> Engine<Q, A> {
+    /// An engine round a limiter.
+    pub fn new(
+        limiter: Limiter,
+        deadlines: Deadlines,
+        news: mpsc::UnboundedReceiver<News<Q, A>>,
+        outlets: Outlets<Q>,
+        bounds: Bounds,
+        log: Logger,
+    ) -> Self {
+        let now = deadlines.clock().now();
+        let (flows, calls, own) = Default::default();
+        Self { limiter, deadlines, news, outlets, bounds, flows, calls, next_call: 0, now, own, log }
+    }
+
+    /// Starts from the list that was known last and runs until every way in is closed.
+    pub async fn run(mut self, known: List) {
+        self.now = self.deadlines.clock().now();
+        self.feed(Event::Start);
+        self.listed(known, ListKind::Cached);
+        loop {
+            let first = tokio::select! {
+                news = self.news.recv() => match news {
+                    None => return,
+                    news => news,
+                },
+                () = self.deadlines.first_due() => {
+                    // Prevents answers that have come in from losing to their time-outs after a standstill.
+                    tokio::task::yield_now().await;
+                    None
+                }
+            };
+            self.now = self.deadlines.clock().now();
+            first.into_iter().for_each(|news| self.take(news));
+            while let Ok(news) = self.news.try_recv() {
+                self.take(news);
+            }
+            self.deadlines.sweep(self.now).into_iter().for_each(|due| self.due(due));
+        }
+    }
+
+    /// Gives the decisions an event and carries out what they want, and what that brings about.
+    fn feed(&mut self, event: Event) {
+        let mut acts = Vec::new();
+        let mut next = Some(event);
+        while let Some(event) = next {
+            self.limiter.handle(self.now, event, &mut acts);
+            for act in acts.drain(..) {
+                self.carry_out(act);
+            }
+            next = self.own.pop_front();
+        }
+    }
+
+    fn take(&mut self, news: News<Q, A>) {
+        match news {
+            News::Arrived(id, terms, question, client) => {
+                if self.flows.len() >= self.bounds.flows {
+                    let _ = client.send(Verdict::NoRoom(self.bounds.retry_after));
+                    return;
+                }
+                let part = |slack: Millis| terms.left - slack.min(terms.left * SLACK_PART);
+                let left = part(SLACK);
+                let guard = self.deadlines.add(self.now + part(GUARD), Due::Flow(id));
+                let (client, until) = (Some(client), self.now + left);
+                let (out, timed_out) = (Vec::new(), false);
+                self.flows.insert(id, Flow { question, client, until, guard, started: 0, out, timed_out });
+                self.feed(Event::Request(Request {
+                    id,
+                    class: terms.class,
+                    plan: terms.plan,
+                    customer: terms.customer,
+                    left,
+                    units: terms.units,
+                    spread: terms.spread,
+                    first: terms.first,
+                    repeat: terms.repeat,
+                }));
+            }
+            News::Left(id) => {
+                // One that has had its answer is over already.
+                if self.close(id).is_some() {
+                    self.feed(Event::ClientLeft(id));
+                }
+            }
+            News::Ended(report) => self.ended(report),
+            News::Listed(list) => {
+                let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
+                self.listed(list, kind);
+            }
+            News::Heard(from, bytes) => self.feed(Event::PeerMessage(from, bytes)),
+            News::Counted(seq, answer) => {
+                // One that timed out has been told as unknown.
+                if let Some(name) = self.calls.remove(&seq) {
+                    self.feed(Event::Counted(name, answer));
+                }
+            }
+        }
+    }
+
+    fn listed(&mut self, list: List, kind: ListKind) {
+        let entries = list.entries.iter().map(|e| e.entry).collect();
+        // The client side learns it first: nothing that waits there starts on a drained real server.
+        self.order(Order::List(list));
+        self.feed(Event::Servers(kind, entries));
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Timer(key) => self.feed(Event::Timer(key)),
+            Due::Scheduling(flow, no) => self.order(Order::GiveUp(flow, no, Outcome::TimedOut)),
+            Due::Call(seq) => {
+                if let Some(name) = self.calls.remove(&seq) {
+                    self.feed(Event::Counted(name, CounterAnswer::Unknown));
+                }
+            }
+            Due::Flow(id) => {
+                // The last guard: a flow that the decisions still hold gets its one final answer.
+                if let Some(client) = self.close(id) {
+                    let _ = client.send(Verdict::Failed { timed_out: true });
+                    debug!(self.log, "flow failed at its deadline"; "flow" => id.0);
+                    self.feed(Event::ClientLeft(id));
+                }
+            }
+            Due::Wake(waker) => waker.wake(),
+        }
+    }
+
+    fn order(&self, order: Order<Q>) {
+        let _ = self.outlets.orders.send(order);
+    }
+
+    /// Ends a flow; tells whom to answer where that is still owed.
+    fn close(&mut self, id: RequestId) -> Option<oneshot::Sender<Verdict<A>>> {
+        let flow = self.flows.get_mut(&id)?;
+        let client = flow.client.take()?;
+        self.deadlines.remove(flow.guard);
+        if flow.out.is_empty() {
+            self.flows.remove(&id);
+        }
+        Some(client)
+    }
+
+    fn ended(&mut self, report: Report<A>) {
+        let Report { flow: id, no, mut outcome, load, answer } = report;
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some(at) = flow.out.iter().position(|s| s.no == no) else { return };
+        let ended = flow.out.swap_remove(at);
+        self.deadlines.remove(ended.deadline);
+        flow.timed_out = outcome == Outcome::TimedOut;
+        match answer {
+            Some(answer) if outcome == Outcome::Served => {
+                if let Some(client) = self.close(id) {
+                    let _ = client.send(Verdict::Served(answer));
+                }
+            }
+            None if outcome == Outcome::Served => outcome = Outcome::Error,
+            _ => {}
+        }
+        let closed = self.flows.get(&id).is_none_or(|flow| flow.client.is_none());
+        self.feed(Event::AttemptEnded(AttemptEnd {
+            request: id,
+            attempt: no,
+            server: ended.server,
+            outcome,
+            spent: self.now - ended.sent,
+            closed,
+            metered_use: None,
+            settled_units: None,
+            load,
+        }));
+        if self.flows.get(&id).is_some_and(|flow| flow.client.is_none() && flow.out.is_empty()) {
+            self.flows.remove(&id);
+        }
+    }
+
+    fn carry_out(&mut self, act: Action) {
+        match act {
+            Action::Send { request, server, wait } => self.start(request, server, wait),
+            Action::Refuse(id, after) => {
+                if let Some(client) = self.close(id) {
+                    let after = after.filter(|after| *after > 0.0).unwrap_or(self.bounds.retry_after);
+                    let _ = client.send(Verdict::TurnDown(after));
+                }
+            }
+            Action::Fail(id) => {
+                let timed_out = self.flows.get(&id).is_some_and(|flow| flow.timed_out);
+                if let Some(client) = self.close(id) {
+                    let _ = client.send(Verdict::Failed { timed_out });
+                }
+            }
+            Action::Cancel(id, no) => self.order(Order::GiveUp(id, no, Outcome::Cancelled)),
+            // The decisions ask for no probes; one that they should ask for tells them nothing.
+            Action::Probe(server) => {
+                self.own.push_back(Event::ProbeEnded(server, Outcome::Moot, Load::default()));
+            }
+            Action::Tell(to, bytes) => {
+                if let Some(peers) = &self.outlets.peers {
+                    let _ = peers.send((to, bytes));
+                }
+            }
+            Action::Count(name, amount, keep) => {
+                self.next_call += 1;
+                let call = Call { seq: self.next_call, name, amount, keep };
+                let sent = self.outlets.counter.as_ref().is_some_and(|counter| counter.send(call).is_ok());
+                if sent {
+                    self.calls.insert(call.seq, name);
+                    self.deadlines.add(self.now + self.bounds.counter_timeout, Due::Call(call.seq));
+                } else {
+                    self.own.push_back(Event::Counted(name, CounterAnswer::NotAdded));
+                }
+            }
+            Action::SetTimer(after, key) => {
+                self.deadlines.add(self.now + after.max(0.0), Due::Timer(key));
+            }
+            // The watch on discovery is open all the time.
+            Action::Subscribe => {}
+        }
+    }
+
+    fn start(&mut self, id: RequestId, server: ServerId, wait: Option<Millis>) {
+        let Some(flow) = self.flows.get_mut(&id) else {
+            warn!(self.log, "scheduling for a flow that is over"; "flow" => id.0);
+            return;
+        };
+        let no = AttemptNo(flow.started);
+        flow.started += 1;
+        let wait = wait.unwrap_or(f64::INFINITY).min(flow.until - self.now);
+        if flow.client.is_none() || no.0 >= self.bounds.schedulings || wait <= 0.0 {
+            let closed = flow.client.is_none();
+            self.own.push_back(Event::AttemptEnded(AttemptEnd {
+                request: id,
+                attempt: no,
+                server,
+                outcome: Outcome::Moot,
+                spent: 0.0,
+                closed,
+                metered_use: None,
+                settled_units: None,
+                load: Load::default(),
+            }));
+            return;
+        }
+        let deadline = self.deadlines.add(self.now + wait, Due::Scheduling(id, no));
+        flow.out.push(Scheduling { no, server, sent: self.now, deadline });
+        let question = flow.question.clone();
+        self.order(Order::Start { flow: id, no, server, question, wait });
+    }
+}
--- /dev/null
+++ b/src/exchange.rs
@@ -0,0 +1,176 @@
+//! Where the server side and the client side meet: flows and news go in, verdicts and orders come out. Neither
+//! side knows the other; the engine stands between them. `Q` is a front's question, `A` its answer.
+
+use crate::interface::*;
+use crate::net::discovery::List;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use tokio::sync::{mpsc, oneshot};
+
+/// What a front tells of a flow.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// Its class.
+    pub class: ClassId,
+    /// Its customer's plan.
+    pub plan: PlanId,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// How long the client waits, from the last byte of the flow.
+    pub left: Millis,
+    /// Units it draws.
+    pub units: f64,
+    /// Over how many ingresses the customer's flows come ...
+    pub spread: u16,
+    /// ... counted round from this one.
+    pub first: GatewayId,
+    /// The client says that it has asked for this before.
+    pub repeat: bool,
+}
+
+/// The final answer of a flow.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict<A> {
+    /// What a real server answered.
+    Served(A),
+    /// The decisions refuse it: come again after this time.
+    TurnDown(Millis),
+    /// The table of flows is full: it was never looked at.
+    NoRoom(Millis),
+    /// It failed; no promise either way.
+    Failed {
+        /// Its time ran out, or that of its last scheduling.
+        timed_out: bool,
+    },
+}
+
+/// How a scheduling ended.
+#[derive(Debug)]
+pub struct Report<A> {
+    /// Whose scheduling.
+    pub flow: RequestId,
+    /// Which.
+    pub no: AttemptNo,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What the real server said of its load.
+    pub load: Load,
+    /// The answer, where it was served.
+    pub answer: Option<A>,
+}
+
+/// What reaches the engine.
+#[derive(Debug)]
+pub enum News<Q, A> {
+    /// A flow has come in whole.
+    Arrived(RequestId, Terms, Q, oneshot::Sender<Verdict<A>>),
+    /// Its client has left.
+    Left(RequestId),
+    /// A scheduling has ended.
+    Ended(Report<A>),
+    /// Service entries.
+    Listed(List),
+    /// A peer's message.
+    Heard(GatewayId, Vec<u8>),
+    /// The counter answered a call.
+    Counted(u64, CounterAnswer),
+}
+
+/// What the engine wants of the client side, in order.
+#[derive(Debug)]
+pub enum Order<Q> {
+    /// Start a scheduling, which the engine gives up after `wait`.
+    Start {
+        /// Whose scheduling.
+        flow: RequestId,
+        /// Which.
+        no: AttemptNo,
+        /// The real server.
+        server: ServerId,
+        /// What to ask.
+        question: Q,
+        /// How long the engine will wait.
+        wait: Millis,
+    },
+    /// Give a scheduling up and report it ended like this, unless it ended before.
+    GiveUp(RequestId, AttemptNo, Outcome),
+    /// Service entries.
+    List(List),
+}
+
+/// A call to the counter.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Call {
+    /// The engine's number of it.
+    pub seq: u64,
+    /// The number's name.
+    pub name: CounterName,
+    /// What to add.
+    pub amount: f64,
+    /// How long a new name is kept.
+    pub keep: Millis,
+}
+
+/// The exchange's way in.
+#[derive(Debug)]
+pub struct Exchange<Q, A> {
+    inbox: mpsc::UnboundedSender<News<Q, A>>,
+    next: Arc<AtomicU64>,
+}
+
+impl<Q, A> Clone for Exchange<Q, A> {
+    fn clone(&self) -> Self {
+        Self { inbox: self.inbox.clone(), next: self.next.clone() }
+    }
+}
+
+impl<Q, A> Exchange<Q, A> {
+    /// An exchange and the engine's end of it.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<News<Q, A>>) {
+        let (inbox, news) = mpsc::unbounded_channel();
+        (Self { inbox, next: Arc::default() }, news)
+    }
+
+    /// Tells the engine something; once the engine is gone nothing matters any more.
+    pub fn tell(&self, news: News<Q, A>) {
+        let _ = self.inbox.send(news);
+    }
+
+    /// Hands in a flow; its verdict is to be awaited, and who drops that has left.
+    pub fn arrive(&self, terms: Terms, question: Q) -> Waiting<Q, A> {
+        let flow = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
+        let (sender, verdict) = oneshot::channel();
+        self.tell(News::Arrived(flow, terms, question, sender));
+        Waiting { exchange: self.clone(), flow, verdict, over: false }
+    }
+}
+
+/// A flow's verdict to come.
+#[derive(Debug)]
+pub struct Waiting<Q, A> {
+    exchange: Exchange<Q, A>,
+    flow: RequestId,
+    verdict: oneshot::Receiver<Verdict<A>>,
+    over: bool,
+}
+
+impl<Q, A> Future for Waiting<Q, A> {
+    type Output = Verdict<A>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Verdict<A>> {
+        let verdict = std::task::ready!(Pin::new(&mut self.verdict).poll(cx));
+        self.over = true;
+        Poll::Ready(verdict.unwrap_or(Verdict::Failed { timed_out: false }))
+    }
+}
+
+impl<Q, A> Drop for Waiting<Q, A> {
+    fn drop(&mut self) {
+        if !self.over {
+            self.exchange.tell(News::Left(self.flow));
+        }
+    }
+}
--- /dev/null
+++ b/src/fronts/mod.rs
@@ -0,0 +1,3 @@
+//! The fronts: what a flow means on each wire.
+
+pub mod platform;
--- /dev/null
+++ b/src/fronts/platform.rs
@@ -0,0 +1,123 @@
+//! The platform's front: reads a flow out of an HTTP request and writes what passes on of it.
+
+use crate::config::Site;
+use crate::exchange::Terms;
+use crate::interface::*;
+use crate::net::client_side::Question;
+use crate::net::http::Message;
+use crate::net::server_side::Asked;
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// The longest id or key that is passed on.
+const NAME: usize = 128;
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+
+/// Makes a flow of a request, or says what is wrong with it; nothing wrong ever reaches a real server.
+pub fn read(message: &Message, site: &Site) -> Asked {
+    match flow(message, site) {
+        Ok(asked) => asked,
+        Err((status, text)) => Asked::Wrong(status, text),
+    }
+}
+
+type Wrong = (u16, &'static str);
+
+fn flow(message: &Message, site: &Site) -> Result<Asked, Wrong> {
+    let head = &message.head;
+    let (method, target) = head.request_line();
+    let bad = |text: &'static str| move || (400, text);
+    let text = std::str::from_utf8(target).map_err(|_| (400, "the target is no text"))?;
+    let (path, query) = text.split_once('?').unwrap_or((text, ""));
+    if path == "/ready" {
+        return if method == b"GET" { Ok(Asked::Ready) } else { Err((405, "/ready takes GET")) };
+    }
+    let name = path.strip_prefix('/').and_then(|rest| rest.split('/').next()).unwrap_or_default();
+    let class = site.classes.iter().position(|class| class.name == name);
+    let class = class.ok_or((404, "the path names no class"))?;
+    let info = &site.classes[class];
+    let keyed = info.keyed;
+    let safe = site.settings.classes[class].effect == Effect::Safe;
+    if method != if safe { b"GET".as_slice() } else { b"POST".as_slice() } {
+        return Err((405, "the class takes the other method"));
+    }
+    if safe && !message.body.is_empty() {
+        return Err((400, "a class that is safe to repeat takes no body"));
+    }
+    let only = |name: &'static str, wrong: &'static str| head.only(name).map_err(|_| (400, wrong));
+    let id = only("request-id", "Request-Id stands twice")?.filter(|v| names(v));
+    let id = id.ok_or_else(bad("Request-Id is missing or no name"))?;
+    let key = only("idempotency-key", "Idempotency-Key stands twice")?;
+    if key.map_or(keyed, |key| !names(key)) {
+        return Err((400, "Idempotency-Key is missing or no name"));
+    }
+    let plan = only("x-tier", "X-Tier stands twice")?.and_then(|v| std::str::from_utf8(v).ok());
+    let plan = plan.and_then(|name| site.plans.get(name)).ok_or_else(bad("X-Tier names no plan"))?;
+    let left = only("request-timeout-ms", "Request-Timeout-Ms stands twice")?;
+    let left = left.and_then(whole).filter(|left| *left > 0);
+    let left = left.ok_or_else(bad("Request-Timeout-Ms is no whole number above 0"))?;
+    let terms = only("x-call-terms", "X-Call-Terms stands twice")?.and_then(|v| read_terms(v, site));
+    let (units, spread, first) = terms.ok_or_else(bad("X-Call-Terms cannot be read"))?;
+    let customer = customer(query).ok_or_else(bad("client is no customer of 16 hex digits"))?;
+    let terms = Terms {
+        class: ClassId(class),
+        plan: PlanId(*plan),
+        customer: CustomerId(customer),
+        left: (left as Millis).min(info.give_up),
+        units,
+        spread,
+        first: GatewayId(first),
+        repeat: head.get("client-retry") == Some(b"1"),
+    };
+    let length = message.body.len();
+    let mut passed = BytesMut::with_capacity(target.len() + id.len() + key.map_or(0, <[u8]>::len) + 128);
+    let parts: [&[u8]; 6] = [method, b" ", target, b" HTTP/1.1\r\nRequest-Id: ", id, b"\r\n"];
+    parts.into_iter().for_each(|part| passed.put_slice(part));
+    if let Some(key) = key {
+        [b"Idempotency-Key: ", key, b"\r\n"].into_iter().for_each(|part: &[u8]| passed.put_slice(part));
+    }
+    if let Some(kind) = head.get("content-type").filter(|_| length > 0) {
+        [b"Content-Type: ", kind, b"\r\n"].into_iter().for_each(|part: &[u8]| passed.put_slice(part));
+    }
+    if !safe {
+        passed.put_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    }
+    Ok(Asked::Flow(terms, Question { head: passed.freeze(), body: Bytes::clone(&message.body) }))
+}
+
+/// Whether a value can be passed on as an id or a key.
+fn names(value: &[u8]) -> bool {
+    (1..=NAME).contains(&value.len()) && value.iter().all(u8::is_ascii_graphic)
+}
+
+fn whole(value: &[u8]) -> Option<u32> {
+    let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    std::str::from_utf8(value).ok().filter(|_| digits)?.parse().ok()
+}
+
+/// The customer in the query.
+fn customer(query: &str) -> Option<u64> {
+    let mut named = query.split('&').filter_map(|pair| pair.strip_prefix("client="));
+    let (value, other) = (named.next()?, named.next());
+    let hex = value.len() == 16 && value.bytes().all(|b| b.is_ascii_hexdigit()) && other.is_none();
+    u64::from_str_radix(value, 16).ok().filter(|number| hex && *number < CUSTOMERS)
+}
+
+/// Units, spread and first of `units=2,spread=3,first=1`; terms that are not known are passed over.
+fn read_terms(value: &[u8], site: &Site) -> Option<(f64, u16, u16)> {
+    let (mut units, mut spread, mut first) = (None, None, None);
+    for pair in std::str::from_utf8(value).ok()?.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        match name.trim() {
+            "units" => units = Some(value.trim().parse::<f64>().ok()?),
+            "spread" => spread = Some(value.trim().parse::<u16>().ok()?),
+            "first" => first = Some(value.trim().parse::<u16>().ok()?),
+            _ => {}
+        }
+    }
+    let most = if site.settings.largest > 0.0 { site.settings.largest } else { f64::MAX };
+    let units = units.filter(|units| *units > 0.0 && *units <= most)?;
+    let spread = spread.filter(|spread| (1..=site.settings.gateways).contains(spread))?;
+    let first = first.filter(|first| *first < site.settings.gateways)?;
+    Some((units, spread, first))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cli;
+pub mod config;
+pub mod deadlines;
+pub mod engine;
+pub mod exchange;
+pub mod fronts;
 pub mod interface;
 mod mail;
+pub mod net;
+pub mod node;
 mod prng;
 pub mod rules;
 mod state;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! Runs one ingress.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    weldhub::cli::main()
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,199 @@
+//! Discovery: keeps a watch on the service entries open and tells the engine of every change.
+
+use super::http::{self, Kind};
+use super::stream::{connect, read_more};
+use crate::config::Site;
+use crate::deadlines::Deadlines;
+use crate::interface::*;
+use bytes::BytesMut;
+use serde_json::Value;
+use slog::{Logger, info, warn};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+
+/// A watch gives a sign of life every 2 s; one silent for this long is opened anew.
+const SILENCE: Millis = 7000.0;
+/// A watch that fails is opened again after the first, then twice as long each time, up to the second.
+const BACKOFF: [Millis; 2] = [50.0, 2000.0];
+/// The longest line: some thousands of entries.
+const LINE: usize = 4 << 20;
+
+/// A service entry: a line of the list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceEntry {
+    /// What the decisions know of the real server.
+    pub entry: ServerEntry,
+    /// Where it listens; none where it is gone.
+    pub at: Option<SocketAddr>,
+}
+
+/// What discovery tells.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct List {
+    /// Its version.
+    pub generation: u64,
+    /// It holds all entries, not only what changed.
+    pub whole: bool,
+    /// The entries.
+    pub entries: Vec<ServiceEntry>,
+}
+
+/// A real server's id: the same for the same instance name, at every ingress and in every life.
+pub fn server_id(name: &str) -> ServerId {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    ServerId(hasher.finish())
+}
+
+impl List {
+    /// Reads a list in discovery's form; an error names the key at fault.
+    pub fn read(value: &Value, site: &Site) -> Result<Self, String> {
+        let entries = value.get("instances").and_then(Value::as_array).ok_or("instances is missing")?;
+        let entry = |(i, v)| read_entry(v, site).map_err(|key| format!("instances.{i}.{key} cannot be read"));
+        Ok(Self {
+            generation: value.get("generation").and_then(Value::as_u64).ok_or("generation is missing")?,
+            whole: value.get("reset").and_then(Value::as_bool).unwrap_or(false),
+            entries: entries.iter().enumerate().map(entry).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+fn read_entry(value: &Value, site: &Site) -> Result<ServiceEntry, &'static str> {
+    let text = |key: &'static str| value.get(key).and_then(Value::as_str).ok_or(key);
+    let figure = |key: &str| value.get(key).and_then(Value::as_f64);
+    let state = match text("lifecycle")? {
+        "in_service" => ServerState::Ready,
+        "terminating" => ServerState::Draining,
+        "terminated" => ServerState::Gone,
+        _ => return Err("lifecycle"),
+    };
+    let at = value.get("hostPort").and_then(Value::as_str).and_then(|at| at.parse().ok());
+    if at.is_none() && state != ServerState::Gone {
+        return Err("hostPort");
+    }
+    let place = |names: &[String], key| {
+        let name = value.get(key).and_then(Value::as_str).unwrap_or_default();
+        names.iter().position(|known| known == name).unwrap_or(usize::MAX)
+    };
+    let entry = ServerEntry {
+        server: server_id(text("instanceId")?),
+        state,
+        weight: figure("weight").unwrap_or(1.0),
+        // Unknown zones and kinds of machine are a zone and a kind of their own.
+        zone: ZoneId(u8::try_from(place(&site.zones, "zone")).unwrap_or(u8::MAX)),
+        kind: KindId(u16::try_from(place(&site.kinds, "machineType")).unwrap_or(u16::MAX)),
+        cell: CellId(value.get("cell").and_then(Value::as_u64).map_or(0, |cell| cell as u16)),
+        last_start: figure("startedAtMs").filter(|at| *at > 0.0),
+    };
+    Ok(ServiceEntry { entry, at })
+}
+
+/// A watch on discovery.
+#[derive(Debug)]
+pub struct Discovery {
+    /// The agent's address.
+    pub agent: SocketAddr,
+    /// For reading entries.
+    pub site: Site,
+    /// For its pauses.
+    pub deadlines: Deadlines,
+    /// Where its troubles are logged.
+    pub log: Logger,
+}
+
+impl Discovery {
+    /// Watches for ever, from the generation that is known; every list goes to `tell`. Silence, failures and
+    /// garbage leave the list as it is.
+    pub async fn run(self, mut known: u64, mut tell: impl FnMut(List)) {
+        let mut pause = BACKOFF[0];
+        loop {
+            let mut heard = false;
+            let why = self.watch(&mut known, |list| {
+                heard = true;
+                tell(list);
+            });
+            let why = why.await;
+            pause = if heard { BACKOFF[0] } else { (pause * 2.0).min(BACKOFF[1]) };
+            info!(self.log, "discovery watch ended"; "why" => why, "again_in_ms" => pause);
+            self.deadlines.sleep(pause).await;
+        }
+    }
+
+    /// One watch, until it ends; tells why.
+    async fn watch(&self, known: &mut u64, mut tell: impl FnMut(List)) -> String {
+        let Some(Ok(mut stream)) = self.deadlines.within(SILENCE, connect(self.agent)).await else {
+            return "no connection".into();
+        };
+        // Without an index the agent gives the whole list.
+        let index = if *known > 0 { format!("&index={known}") } else { String::new() };
+        let ask = format!("GET /v1/endpoints?stream=1{index} HTTP/1.1\r\nHost: {}\r\n\r\n", self.agent);
+        if let Err(e) = stream.write_all(ask.as_bytes()).await {
+            return e.to_string();
+        }
+        let (mut buffer, mut line, mut begun) = (BytesMut::new(), BytesMut::new(), false);
+        loop {
+            if !begun {
+                match http::peek_head(&buffer, Kind::Response) {
+                    Ok(Some((head, length))) if head.status() == 200 && head.chunked() => {
+                        begun = true;
+                        drop(buffer.split_to(length));
+                    }
+                    Ok(None) => {}
+                    _ => return "the answer is no watch".into(),
+                }
+            }
+            while begun {
+                match http::peek_chunk(&buffer, LINE) {
+                    Ok(Some((data, _))) if data.is_empty() => return "the watch was ended".into(),
+                    Ok(Some((data, length))) => {
+                        line.extend_from_slice(&buffer[data]);
+                        drop(buffer.split_to(length));
+                    }
+                    Ok(None) => break,
+                    Err(_) => return "its chunks are malformed".into(),
+                }
+            }
+            while let Some(end) = line.iter().position(|b| *b == b'\n') {
+                let text = line.split_to(end + 1);
+                match read_line(&text, *known, &self.site) {
+                    Ok(Some(list)) => {
+                        *known = list.generation;
+                        tell(list);
+                    }
+                    Ok(None) => {}
+                    Err(why) => {
+                        // What was missed is not known: the next watch begins with the whole list.
+                        *known = 0;
+                        warn!(self.log, "discovery told something unreadable"; "why" => &why);
+                        return why;
+                    }
+                }
+            }
+            if line.len() > LINE {
+                return "a line is too long".into();
+            }
+            match self.deadlines.within(SILENCE, read_more(&mut stream, &mut buffer)).await {
+                Some(Ok(true)) => {}
+                Some(Ok(false)) => return "it ended".into(),
+                Some(Err(e)) => return e.to_string(),
+                None => return "silence".into(),
+            }
+        }
+    }
+}
+
+/// Reads a line of a watch: none where it is only a sign of life.
+fn read_line(line: &[u8], known: u64, site: &Site) -> Result<Option<List>, String> {
+    let line = line.trim_ascii();
+    if line.is_empty() {
+        return Ok(None);
+    }
+    let value = serde_json::from_slice(line).map_err(|e| e.to_string())?;
+    let list = List::read(&value, site)?;
+    // Changes to a list that this ingress does not have: it has missed some, or discovery began anew.
+    if !list.whole && (known == 0 || list.generation < known) {
+        return Err(format!("changes of generation {} after {known}", list.generation));
+    }
+    Ok(Some(list))
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,252 @@
+//! HTTP/1.1 messages: takes whole ones off the front of a buffer. Heads are parsed by `httparse`.
+
+use bytes::{Bytes, BytesMut};
+use std::ops::Range;
+
+/// The most bytes of a body.
+pub const BODY: usize = 64 * 1024;
+/// The most bytes of a head.
+pub const HEAD: usize = 8 * 1024;
+/// The most bytes of a message that is still incomplete: chunks have some overhead.
+pub const MESSAGE: usize = BODY + HEAD + 4 * 1024;
+const HEADERS: usize = 64;
+
+/// Why a message cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bad {
+    /// It is not HTTP/1.
+    Malformed,
+    /// Its body, or a chunked one's framing, is too large.
+    BodyTooLarge,
+    /// Its head is too large.
+    HeadTooLarge,
+}
+
+/// What a message begins with.
+#[derive(Debug, Clone, PartialEq)]
+enum Start {
+    Request { method: Range<usize>, target: Range<usize> },
+    Response { status: u16 },
+}
+
+/// Which messages are read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Requests.
+    Request,
+    /// Responses to `GET` or `POST`.
+    Response,
+}
+
+/// A head, and how its body is framed.
+#[derive(Debug, Clone)]
+pub struct Head {
+    bytes: Bytes,
+    start: Start,
+    fields: Vec<(Range<usize>, Range<usize>)>,
+    framing: Framing,
+    /// The connection is not used after this message.
+    pub close: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length(usize),
+    Chunked,
+    /// To the end of the connection.
+    End,
+}
+
+/// A whole message.
+#[derive(Debug, Clone)]
+pub struct Message {
+    /// Its head.
+    pub head: Head,
+    /// Its body, without framing.
+    pub body: Bytes,
+}
+
+impl Head {
+    /// The first value of a header.
+    pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a [u8]> {
+        self.all(name).next()
+    }
+
+    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = move |(n, _): &&(Range<usize>, Range<usize>)| {
+            self.bytes[n.clone()].eq_ignore_ascii_case(name.as_bytes())
+        };
+        self.fields.iter().filter(named).map(|(_, value)| &self.bytes[value.clone()])
+    }
+
+    /// The value of a header that stands once at the most.
+    pub fn only<'a>(&'a self, name: &'a str) -> Result<Option<&'a [u8]>, Bad> {
+        let mut all = self.all(name);
+        match (all.next(), all.next()) {
+            (_, Some(_)) => Err(Bad::Malformed),
+            (value, None) => Ok(value),
+        }
+    }
+
+    /// Method and target of a request; empty for a response.
+    pub fn request_line(&self) -> (&[u8], &[u8]) {
+        match &self.start {
+            Start::Request { method, target } => (&self.bytes[method.clone()], &self.bytes[target.clone()]),
+            Start::Response { .. } => (b"", b""),
+        }
+    }
+
+    /// The status of a response; 0 for a request.
+    pub fn status(&self) -> u16 {
+        if let Start::Response { status } = self.start { status } else { 0 }
+    }
+
+    /// Whether the body comes in chunks.
+    pub fn chunked(&self) -> bool {
+        self.framing == Framing::Chunked
+    }
+
+    fn frame(&mut self, kind: Kind, old: bool) -> Result<(), Bad> {
+        let has = |value: Option<&[u8]>, word: &str| {
+            let text = value.unwrap_or_default();
+            text.split(|b| *b == b',').any(|item| item.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+        };
+        let connection = self.get("connection");
+        let close = has(connection, "close") || old && !has(connection, "keep-alive");
+        let (length, encoding) = (self.only("content-length")?, self.only("transfer-encoding")?);
+        let bodiless = kind == Kind::Response && matches!(self.status(), 100..200 | 204 | 304);
+        let framing = match (length, encoding) {
+            _ if bodiless => Framing::Length(0),
+            // Prevents a message that two readers would cut in different places.
+            (Some(_), Some(_)) => return Err(Bad::Malformed),
+            (None, Some(value)) if value.eq_ignore_ascii_case(b"chunked") && !old => Framing::Chunked,
+            (None, Some(_)) => return Err(Bad::Malformed),
+            (Some(digits), None) => {
+                if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+                    return Err(Bad::Malformed);
+                }
+                let text = std::str::from_utf8(digits).map_err(|_| Bad::Malformed)?;
+                Framing::Length(text.parse().map_err(|_| Bad::BodyTooLarge)?)
+            }
+            (None, None) if kind == Kind::Response => Framing::End,
+            (None, None) => Framing::Length(0),
+        };
+        (self.framing, self.close) = (framing, close || framing == Framing::End);
+        match framing {
+            Framing::Length(n) if n > BODY => Err(Bad::BodyTooLarge),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Reads the head at the front of the buffer, without taking it off: the head and its length.
+pub fn peek_head(buffer: &[u8], kind: Kind) -> Result<Option<(Head, usize)>, Bad> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let here = |part: &[u8]| {
+        let at = part.as_ptr() as usize - buffer.as_ptr() as usize;
+        at..at + part.len()
+    };
+    let parsed = |status: httparse::Result<usize>| match status {
+        Ok(httparse::Status::Complete(n)) if n <= HEAD => Ok(Some(n)),
+        Ok(httparse::Status::Partial) if buffer.len() <= HEAD => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Bad::HeadTooLarge),
+        Err(_) => Err(Bad::Malformed),
+    };
+    let (start, version, fields, length) = match kind {
+        Kind::Request => {
+            let mut request = httparse::Request::new(&mut headers);
+            let Some(n) = parsed(request.parse(buffer))? else { return Ok(None) };
+            let (Some(method), Some(target)) = (request.method, request.path) else {
+                return Err(Bad::Malformed);
+            };
+            let start = Start::Request { method: here(method.as_bytes()), target: here(target.as_bytes()) };
+            (start, request.version, request.headers, n)
+        }
+        Kind::Response => {
+            let mut response = httparse::Response::new(&mut headers);
+            let Some(n) = parsed(response.parse(buffer))? else { return Ok(None) };
+            (Start::Response { status: response.code.unwrap_or(0) }, response.version, response.headers, n)
+        }
+    };
+    let fields = fields.iter().map(|h| (here(h.name.as_bytes()), here(h.value))).collect();
+    let bytes = Bytes::copy_from_slice(&buffer[..length]);
+    let mut head = Head { bytes, start, fields, framing: Framing::End, close: false };
+    head.frame(kind, version != Some(1))?;
+    Ok(Some((head, length)))
+}
+
+/// A chunk at the front of the buffer: its data and its whole length; an empty one is the last.
+pub fn peek_chunk(buffer: &[u8], most: usize) -> Result<Option<(Range<usize>, usize)>, Bad> {
+    let (start, size) = match httparse::parse_chunk_size(buffer) {
+        Ok(httparse::Status::Complete(found)) => found,
+        Ok(httparse::Status::Partial) if buffer.len() <= HEAD => return Ok(None),
+        _ => return Err(Bad::Malformed),
+    };
+    let size = usize::try_from(size).ok().filter(|size| *size <= most).ok_or(Bad::BodyTooLarge)?;
+    if size == 0 {
+        return end_of_trailers(&buffer[start..]).map(|end| end.map(|end| (start..start, start + end)));
+    }
+    match buffer.get(start + size..start + size + 2) {
+        Some(b"\r\n") => Ok(Some((start..start + size, start + size + 2))),
+        Some(_) => Err(Bad::Malformed),
+        None => Ok(None),
+    }
+}
+
+/// Trailers are read and dropped.
+fn end_of_trailers(rest: &[u8]) -> Result<Option<usize>, Bad> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    match httparse::parse_headers(rest, &mut headers) {
+        Ok(httparse::Status::Complete((n, _))) => Ok(Some(n)),
+        Ok(httparse::Status::Partial) if rest.len() <= HEAD => Ok(None),
+        _ => Err(Bad::Malformed),
+    }
+}
+
+fn chunked_body(mut rest: &[u8]) -> Result<Option<(Bytes, usize)>, Bad> {
+    let (mut body, mut used) = (BytesMut::new(), 0);
+    while let Some((data, length)) = peek_chunk(rest, BODY)? {
+        used += length;
+        if data.is_empty() {
+            return Ok(Some((body.freeze(), used)));
+        }
+        body.extend_from_slice(&rest[data]);
+        if body.len() > BODY {
+            return Err(Bad::BodyTooLarge);
+        }
+        rest = &rest[length..];
+    }
+    Ok(None)
+}
+
+/// Takes a whole message off the front of the buffer; none where more must come. `ended` tells that nothing
+/// will.
+pub fn take_message(buffer: &mut BytesMut, kind: Kind, ended: bool) -> Result<Option<Message>, Bad> {
+    let Some((head, length)) = peek_head(buffer, kind)? else { return Ok(None) };
+    let body = match head.framing {
+        Framing::Length(n) if buffer.len() >= length + n => {
+            let mut whole = buffer.split_to(length + n);
+            whole.split_off(length).freeze()
+        }
+        Framing::End if ended => {
+            let mut whole = buffer.split();
+            whole.split_off(length).freeze()
+        }
+        Framing::Chunked => match chunked_body(&buffer[length..])? {
+            Some((body, used)) => {
+                drop(buffer.split_to(length + used));
+                body
+            }
+            None => return more(buffer),
+        },
+        Framing::Length(_) | Framing::End => return more(buffer),
+    };
+    if body.len() > BODY {
+        return Err(Bad::BodyTooLarge);
+    }
+    Ok(Some(Message { head, body }))
+}
+
+fn more(buffer: &BytesMut) -> Result<Option<Message>, Bad> {
+    if buffer.len() > MESSAGE { Err(Bad::BodyTooLarge) } else { Ok(None) }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,10 @@
+//! The network code: who talks with clients, real servers, discovery, the counter and the peers. It carries out
+//! and decides nothing.
+
+pub mod client_side;
+pub mod counter;
+pub mod discovery;
+pub mod http;
+pub mod peers;
+pub mod server_side;
+pub mod stream;
