--- a/src/deadlines.rs
+++ b/src/deadlines.rs
@@ -193,7 +193,7 @@
             let due = deadlines.sweep(now).into_iter();
             due.filter_map(|due| if let Due::Timer(TimerKey(n)) = due { Some(n) } else { None }).collect()
         };
-        assert_eq!(keys(9.9), []);
+        assert!(keys(9.9).is_empty());
         assert_eq!(keys(30.0), [1, 2, 3]);
         assert_eq!(keys(1e9), [4]);
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -39,7 +39,7 @@
     pub entries: Vec<ServiceEntry>,
 }
 
-/// A real server's id: the same for the same instance name, at every ingress and in every life.
+/// A real server's id: the same for the same instance name.
 pub fn server_id(name: &str) -> ServerId {
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
@@ -131,32 +131,15 @@
         if let Err(e) = stream.write_all(ask.as_bytes()).await {
             return e.to_string();
         }
-        let (mut buffer, mut line, mut begun) = (BytesMut::new(), BytesMut::new(), false);
+        let mut lines = Lines::default();
         loop {
-            if !begun {
-                match http::peek_head(&buffer, Kind::Response) {
-                    Ok(Some((head, length))) if head.status() == 200 && head.chunked() => {
-                        begun = true;
-                        drop(buffer.split_to(length));
-                    }
-                    Ok(None) => {}
-                    _ => return "the answer is no watch".into(),
-                }
-            }
-            while begun {
-                match http::peek_chunk(&buffer, LINE) {
-                    Ok(Some((data, _))) if data.is_empty() => return "the watch was ended".into(),
-                    Ok(Some((data, length))) => {
-                        line.extend_from_slice(&buffer[data]);
-                        drop(buffer.split_to(length));
-                    }
+            loop {
+                let list = match lines.next() {
+                    Ok(Some(text)) => read_line(&text, *known, &self.site),
                     Ok(None) => break,
-                    Err(_) => return "its chunks are malformed".into(),
-                }
-            }
-            while let Some(end) = line.iter().position(|b| *b == b'\n') {
-                let text = line.split_to(end + 1);
-                match read_line(&text, *known, &self.site) {
+                    Err(why) => return why.into(),
+                };
+                match list {
                     Ok(Some(list)) => {
                         *known = list.generation;
                         tell(list);
@@ -170,10 +153,7 @@
                     }
                 }
             }
-            if line.len() > LINE {
-                return "a line is too long".into();
-            }
-            match self.deadlines.within(SILENCE, read_more(&mut stream, &mut buffer)).await {
+            match self.deadlines.within(SILENCE, read_more(&mut stream, &mut lines.buffer)).await {
                 Some(Ok(true)) => {}
                 Some(Ok(false)) => return "it ended".into(),
                 Some(Err(e)) => return e.to_string(),
@@ -183,6 +163,46 @@
     }
 }
 
+/// The lines of a watch's chunked answer, however they are cut.
+#[derive(Debug, Default)]
+struct Lines {
+    /// What has come and was not looked at.
+    buffer: BytesMut,
+    begun: bool,
+    line: BytesMut,
+}
+
+impl Lines {
+    /// The next line; none where more must come first.
+    fn next(&mut self) -> Result<Option<BytesMut>, &'static str> {
+        if !self.begun {
+            match http::peek_head(&self.buffer, Kind::Response) {
+                Ok(Some((head, length))) if head.status() == 200 && head.chunked() => {
+                    self.begun = true;
+                    drop(self.buffer.split_to(length));
+                }
+                Ok(None) => return Ok(None),
+                _ => return Err("the answer is no watch"),
+            }
+        }
+        loop {
+            if let Some(end) = self.line.iter().position(|b| *b == b'\n') {
+                return Ok(Some(self.line.split_to(end + 1)));
+            }
+            match http::peek_chunk(&self.buffer, LINE) {
+                Ok(Some((data, _))) if data.is_empty() => return Err("the watch was ended"),
+                Ok(Some((data, length))) => {
+                    self.line.extend_from_slice(&self.buffer[data]);
+                    drop(self.buffer.split_to(length));
+                }
+                Ok(None) if self.line.len() + self.buffer.len() > LINE => return Err("a line is too long"),
+                Ok(None) => return Ok(None),
+                Err(_) => return Err("its chunks are malformed"),
+            }
+        }
+    }
+}
+
 /// Reads a line of a watch: none where it is only a sign of life.
 fn read_line(line: &[u8], known: u64, site: &Site) -> Result<Option<List>, String> {
     let line = line.trim_ascii();
