--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,10 +1,11 @@
 //! The command line: reads the configuration, starts the log and runs until SIGTERM.
 
-use crate::config::Config;
-use crate::node::{self, Error};
+use crate::config::{AuthzConfig, Config};
+use crate::node;
 use slog::{Drain, Level, Logger, crit, o};
 use std::process::ExitCode;
 use std::sync::Mutex;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// A log on standard error; `WELDHUB_LOG=debug` tells more.
@@ -29,9 +30,27 @@
     }
 }
 
-fn run(log: &Logger) -> Result<(), Error> {
-    let config = Config::from_env()?;
-    node::run(config, log.clone(), told_to_stop())
+/// `weldhub` serves the platform; `weldhub --ext-authz FILE` is set up by an operator's file.
+fn run(log: &Logger) -> Result<(), Box<dyn std::error::Error>> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => {
+            let config = Config::from_env()?;
+            node::block_on(async {
+                let listener = TcpListener::bind(config.instance.listen).await?;
+                node::serve(config, listener, log.clone(), told_to_stop()).await
+            })?;
+        }
+        ["--ext-authz", path] => {
+            let config = AuthzConfig::from_file(path)?;
+            node::block_on(async {
+                let listener = TcpListener::bind(config.instance.listen).await?;
+                node::serve_authz(config, listener, log.clone(), told_to_stop()).await
+            })?;
+        }
+        _ => return Err("usage: weldhub [--ext-authz FILE]".into()),
+    }
+    Ok(())
 }
 
 /// The program's main function.
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::str::FromStr;
 
@@ -43,12 +44,6 @@
         pairs
     }
 
-    /// Reads an operator's TOML file.
-    pub fn from_toml(text: &str) -> Result<Self, ConfigError> {
-        let value: Value = toml::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
-        Ok(Self::from_json(&value))
-    }
-
     fn flatten(&mut self, path: String, value: &Value) {
         let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
         let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
@@ -85,6 +80,14 @@
         Ok(self.get(key)?.unwrap_or_default())
     }
 
+    /// A span that must be above 0, or a default.
+    fn positive(&self, key: &str, otherwise: Millis) -> Result<Millis, ConfigError> {
+        match self.get(key)?.unwrap_or(otherwise) {
+            span if span.is_finite() && span > 0.0 => Ok(span),
+            _ => Err(ConfigError(format!("{key} must be above 0"))),
+        }
+    }
+
     /// A list of plain values.
     pub fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>, ConfigError> {
         let text: String = self.opt(key)?;
@@ -173,7 +176,7 @@
         let classes: usize = pairs.need("classes.count")?;
         let plans: usize = pairs.opt("tariffs.count")?;
         let advice: bool = pairs.opt("limits.retryAfter")?;
-        let mode: String = pairs.need("membershipMode")?;
+        let mode: String = pairs.opt("membershipMode")?;
         let settings = Settings {
             me: GatewayId(pairs.need("myNumber")?),
             gateways: pairs.need("balancers")?,
@@ -213,23 +216,31 @@
             let name: Option<String> = pairs.get(&format!("tariffs.{i}.name"))?;
             Ok((name.unwrap_or_else(|| i.to_string()), i))
         };
-        let positive = |key: &str, otherwise: Millis| match pairs.get::<Millis>(key)?.unwrap_or(otherwise) {
-            span if span.is_finite() && span > 0.0 => Ok(span),
-            _ => Err(ConfigError(format!("{key} must be above 0"))),
-        };
         Ok(Self {
             classes: (0..classes).map(class).collect::<Result<_, _>>()?,
             plans: (0..plans).map(plan).collect::<Result<_, _>>()?,
             load_names: pairs.list("feedback.names")?,
             zones: pairs.list("zones")?,
             kinds: pairs.list("flavors")?,
-            conn_idle: positive("limits.connIdle", CONN_IDLE)?,
-            connect_timeout: positive("limits.connectTimeout", CONNECT_TIMEOUT)?,
-            max_retry_after: positive("limits.maxRetryAfter", MAX_RETRY_AFTER)?,
+            conn_idle: pairs.positive("limits.connIdle", CONN_IDLE)?,
+            connect_timeout: pairs.positive("limits.connectTimeout", CONNECT_TIMEOUT)?,
+            max_retry_after: pairs.positive("limits.maxRetryAfter", MAX_RETRY_AFTER)?,
             settings,
         })
     }
 
+    /// Whether a flow may draw this many units.
+    pub fn good_units(&self, units: f64) -> bool {
+        let most = if self.settings.largest > 0.0 { self.settings.largest } else { f64::MAX };
+        units > 0.0 && units <= most
+    }
+
+    /// A customer's set, where there are such ingresses.
+    pub fn good_set(&self, spread: u16, first: u16) -> Option<(u16, u16)> {
+        let all = self.settings.gateways;
+        ((1..=all).contains(&spread) && first < all).then_some((spread, first))
+    }
+
     /// The same, for a daemon: its clients are always told when to come back, also where the settings say
     /// that the simulator's are not, since a turned-down flow is answered at once.
     pub fn with_advice(mut self) -> Self {
@@ -238,31 +249,66 @@
     }
 }
 
-/// What an ingress on the platform is told.
+/// What an instance of either front is told.
 #[derive(Debug, Clone)]
-pub struct Config {
+pub struct Instance {
     /// Its name.
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Discovery's agent.
-    pub discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
     /// Limits that the machine sets.
     pub limits: Limits,
     /// Where messages of peers arrive.
     pub peer_listen: Option<SocketAddr>,
-    /// The peers, this ingress included, by their numbers.
+    /// The peers, this instance included, by their numbers.
     pub peers: Vec<SocketAddr>,
     /// The shared counter.
     pub counter: Option<SocketAddr>,
-    /// The list as this ingress last had it.
-    pub known: List,
     /// The settings.
     pub site: Site,
 }
 
+impl Instance {
+    fn read(pairs: &Pairs, json: &Value) -> Result<Self, ConfigError> {
+        let settings = json.get("settings").ok_or_else(|| ConfigError("settings is missing".into()))?;
+        let site = Site::read(&Pairs::from_json(settings))
+            .map_err(|e| ConfigError(format!("settings: {}", e.0)))?
+            .with_advice();
+        let seed = match pairs.get::<String>("seed")? {
+            Some(seed) => u64::from_str_radix(&seed, 16).map_err(|_| unreadable("seed", &seed))?,
+            None => RandomState::new().hash_one(std::process::id()),
+        };
+        let this = Self {
+            name: pairs.need("name")?,
+            listen: pairs.need("listen")?,
+            seed,
+            limits: Limits::read(pairs, "limits")?,
+            peer_listen: pairs.get("peer_listen")?,
+            peers: pairs.list("peers")?,
+            counter: pairs.get("counter")?,
+            site,
+        };
+        let (have, want) = (this.peers.len(), usize::from(this.site.settings.gateways));
+        if this.site.settings.peers && have != want {
+            return Err(ConfigError(format!("peers lists {have} addresses, settings.balancers says {want}")));
+        }
+        Ok(this)
+    }
+}
+
+/// What an ingress on the platform is told.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// What any instance is told.
+    pub instance: Instance,
+    /// Discovery's agent.
+    pub discovery: SocketAddr,
+    /// The list as this ingress last had it.
+    pub known: List,
+}
+
 /// Limits that the machine sets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -324,31 +370,130 @@
                 pairs.0.insert(key.to_owned(), value);
             }
         }
-        let settings = json.get("settings").ok_or_else(|| ConfigError("settings is missing".into()))?;
-        let site = Site::read(&Pairs::from_json(settings))
-            .map_err(|e| ConfigError(format!("settings: {}", e.0)))?
-            .with_advice();
-        let seed: String = pairs.need("seed")?;
-        let peers: Vec<SocketAddr> = pairs.list("peers")?;
-        let config = Self {
-            name: pairs.need("name")?,
-            listen: pairs.need("listen")?,
-            discovery: pairs.need("discovery")?,
-            seed: u64::from_str_radix(&seed, 16).map_err(|_| unreadable("seed", &seed))?,
-            limits: Limits::read(&pairs, "limits")?,
-            peer_listen: pairs.get("peer_listen")?,
-            counter: pairs.get("counter")?,
-            known: match json.get("known") {
-                Some(known) => List::read(known, &site).map_err(|e| ConfigError(format!("known: {e}")))?,
-                None => List::default(),
-            },
-            peers,
-            site,
+        let instance = Instance::read(&pairs, &json)?;
+        let known = match json.get("known") {
+            Some(known) => {
+                List::read(known, &instance.site).map_err(|e| ConfigError(format!("known: {e}")))?
+            }
+            None => List::default(),
         };
-        if config.site.settings.peers && config.peers.len() != usize::from(config.site.settings.gateways) {
-            let (have, want) = (config.peers.len(), config.site.settings.gateways);
-            return Err(ConfigError(format!("peers lists {have} addresses, settings.balancers says {want}")));
+        Ok(Self { discovery: pairs.need("discovery")?, known, instance })
+    }
+}
+
+/// Where Consul is and what to ask it.
+#[derive(Debug, Clone)]
+pub struct Consul {
+    /// The agent.
+    pub address: SocketAddr,
+    /// The authorisers' service.
+    pub service: String,
+    /// How long a blocking query may block.
+    pub wait: Millis,
+    /// The ACL token, from the environment's `CONSUL_HTTP_TOKEN`.
+    pub token: Option<String>,
+}
+
+/// Where a check tells something.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Field {
+    /// In a header of the request that is checked, by its lower-case name.
+    Header(String),
+    /// In a context extension.
+    Extension(String),
+}
+
+impl FromStr for Field {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text.split_once(':') {
+            Some(("header", name)) if !name.is_empty() => Ok(Self::Header(name.to_ascii_lowercase())),
+            Some(("extension", name)) if !name.is_empty() => Ok(Self::Extension(name.to_owned())),
+            _ => Err(()),
         }
-        Ok(config)
+    }
+}
+
+/// The operator's choices for the authorisation front.
+#[derive(Debug, Clone)]
+pub struct Authz {
+    /// Failures allow the request; turn-downs never do.
+    pub fail_open: bool,
+    /// How long a caller waits that does not say.
+    pub default_timeout: Millis,
+    /// Prefixes of paths and the classes of what they begin.
+    pub routes: Vec<(String, usize)>,
+    /// Where the customer stands.
+    pub customer: Field,
+    /// Where the plan stands.
+    pub plan: Field,
+    /// Where the units stand; absent, they are one.
+    pub units: Field,
+    /// Where the set of instances stands; absent, it is all.
+    pub set: Field,
+    /// Where the idempotency key stands.
+    pub key: Field,
+}
+
+/// What the operator's file says.
+#[derive(Debug, Clone)]
+pub struct AuthzConfig {
+    /// What any instance is told.
+    pub instance: Instance,
+    /// Where authorisers are found.
+    pub consul: Consul,
+    /// The front.
+    pub authz: Authz,
+}
+
+/// The longest that a blocking query blocks where the file says nothing.
+const CONSUL_WAIT: Millis = 55_000.0;
+
+impl AuthzConfig {
+    /// Reads the operator's file.
+    pub fn from_file(path: &str) -> Result<Self, ConfigError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|e| ConfigError(format!("{path} cannot be read: {e}")))?;
+        Self::read(&text, |name| std::env::var(name).ok())
+    }
+
+    /// Reads the text of the operator's file.
+    pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let value: Value = toml::from_str(text).map_err(|e| ConfigError(format!("not TOML: {e}")))?;
+        let pairs = Pairs::from_json(&value);
+        let instance = Instance::read(&pairs, &value)?;
+        let field = |key: &str, otherwise: &str| match pairs.get(key)? {
+            Some(field) => Ok(field),
+            None => Field::from_str(otherwise).map_err(|()| unreadable(key, otherwise)),
+        };
+        let route = |i: usize| {
+            let (prefix, class) = (format!("authz.routes.{i}.prefix"), format!("authz.routes.{i}.class"));
+            let name: String = pairs.need(&class)?;
+            let at = instance.site.classes.iter().position(|known| known.name == name);
+            Ok((pairs.need(&prefix)?, at.ok_or_else(|| unreadable(&class, &name))?))
+        };
+        let authz = Authz {
+            fail_open: pairs.opt("authz.fail_open")?,
+            default_timeout: pairs.positive("authz.default_timeout_ms", 1000.0)?,
+            routes: (0..pairs.opt("authz.routes.count")?).map(route).collect::<Result<_, _>>()?,
+            customer: field("authz.customer", "header:x-customer")?,
+            plan: field("authz.plan", "header:x-tier")?,
+            units: field("authz.units", "header:x-units")?,
+            set: field("authz.set", "header:x-set")?,
+            key: field("authz.key", "header:idempotency-key")?,
+        };
+        let service: String = pairs.need("consul.service")?;
+        let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+        if service.is_empty() || !service.bytes().all(plain) {
+            return Err(unreadable("consul.service", &service));
+        }
+        let consul = Consul {
+            address: pairs.need("consul.address")?,
+            service,
+            wait: pairs.positive("consul.wait_ms", CONSUL_WAIT)?,
+            token: env("CONSUL_HTTP_TOKEN"),
+        };
+        Ok(Self { instance, consul, authz })
     }
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -93,11 +93,14 @@
         Self { limiter, deadlines, news, outlets, bounds, flows, calls, next_call: 0, now, own, log }
     }
 
-    /// Starts from the list that was known last and runs until every way in is closed.
+    /// Starts from the list that was known last, if any, and runs until every way in is closed.
     pub async fn run(mut self, known: List) {
         self.now = self.deadlines.clock().now();
         self.feed(Event::Start);
-        self.listed(known, ListKind::Cached);
+        // Prevents the first list of all from being taken for one of newcomers, which are spared as cold.
+        if !known.entries.is_empty() {
+            self.listed(known, ListKind::Cached);
+        }
         loop {
             let first = tokio::select! {
                 news = self.news.recv() => match news {
--- /dev/null
+++ b/src/fronts/ext_authz/mod.rs
@@ -0,0 +1,193 @@
+//! External authorisation over gRPC: answers `envoy.service.auth.v3.Authorization/Check` and schedules each
+//! check to external authorisers that speak the same. The engine and its rules are those of the platform.
+
+pub mod authorisers;
+pub mod proto;
+pub mod service;
+
+use crate::config::{Authz, Field, Site};
+use crate::exchange::{Terms, Verdict};
+use crate::interface::*;
+use crate::net::http::BODY;
+use bytes::Bytes;
+use prost::Message;
+use proto::*;
+use std::collections::HashMap;
+use std::time::Duration;
+use tonic::metadata::MetadataMap;
+use tonic::{Code, Status};
+
+/// A check, as it passes on.
+#[derive(Debug, Clone)]
+pub struct Check {
+    /// The message, as it came.
+    pub message: Bytes,
+    /// What came beside it.
+    pub metadata: MetadataMap,
+}
+
+/// Reads checks and words verdicts.
+#[derive(Debug)]
+pub struct Front {
+    /// The settings.
+    pub site: Site,
+    /// The operator's choices.
+    pub authz: Authz,
+}
+
+impl Front {
+    /// Makes a flow of a check; a bad one never reaches an authoriser.
+    pub fn read(&self, check: &Check) -> Result<Terms, Status> {
+        let bad = |what: &str| Status::invalid_argument(what.to_owned());
+        if check.message.len() > BODY {
+            return Err(bad("the check is larger than 64 KiB"));
+        }
+        let request = CheckRequest::decode(check.message.clone()).map_err(|e| bad(&e.to_string()))?;
+        let attributes = request.attributes.ok_or_else(|| bad("attributes are missing"))?;
+        let http = attributes.request.and_then(|request| request.http);
+        let http = http.ok_or_else(|| bad("attributes.request.http is missing"))?;
+        let headers = headers(&http);
+        let get = |field: &Field| match field {
+            Field::Header(name) => headers.get(name.as_str()).copied(),
+            Field::Extension(name) => attributes.context_extensions.get(name).map(String::as_str),
+        };
+        let class = self.class(&http.path).ok_or_else(|| bad("the path belongs to no class"))?;
+        let info = &self.site.classes[class];
+        let customer = get(&self.authz.customer).filter(|name| !name.is_empty());
+        let customer = customer.ok_or_else(|| bad("the customer is missing"))?;
+        let plan = get(&self.authz.plan).and_then(|name| self.site.plans.get(name));
+        if info.keyed && get(&self.authz.key).is_none_or(str::is_empty) {
+            return Err(bad("the class needs an idempotency key"));
+        }
+        let units = match get(&self.authz.units) {
+            Some(text) => text.trim().parse().ok().filter(|units| self.site.good_units(*units)),
+            None => Some(1.0),
+        };
+        let (spread, first) = match get(&self.authz.set) {
+            Some(text) => self.set(text).ok_or_else(|| bad("the set cannot be read"))?,
+            None => (self.site.settings.gateways, 0),
+        };
+        let timeout = check.metadata.get("grpc-timeout").map(|value| timeout(value.as_bytes()));
+        let left = match timeout {
+            Some(left) => left.ok_or_else(|| bad("grpc-timeout cannot be read"))?,
+            None => self.authz.default_timeout,
+        };
+        Ok(Terms {
+            class: ClassId(class),
+            plan: PlanId(*plan.ok_or_else(|| bad("the plan is missing or unknown"))?),
+            customer: customer_id(customer),
+            left: left.min(info.give_up),
+            units: units.ok_or_else(|| bad("the units cannot be read"))?,
+            spread,
+            first: GatewayId(first),
+            repeat: false,
+        })
+    }
+
+    /// The class of the longest route that the path begins with, or that the path's first part names.
+    fn class(&self, path: &str) -> Option<usize> {
+        let path = path.split('?').next().unwrap_or_default();
+        let routes = self.authz.routes.iter().filter(|(prefix, _)| path.starts_with(prefix.as_str()));
+        let route = routes.max_by_key(|(prefix, _)| prefix.len()).map(|(_, class)| *class);
+        let named = || {
+            let name = path.strip_prefix('/')?.split('/').next()?;
+            self.site.classes.iter().position(|class| class.name == name)
+        };
+        route.or_else(named)
+    }
+
+    /// `spread=3,first=1`.
+    fn set(&self, text: &str) -> Option<(u16, u16)> {
+        let pairs: HashMap<&str, &str> =
+            text.split(',').filter_map(|pair| pair.trim().split_once('=')).collect();
+        self.site.good_set(pairs.get("spread")?.parse().ok()?, pairs.get("first")?.parse().ok()?)
+    }
+
+    /// The answer to a check; what an authoriser said passes unchanged.
+    pub fn word(&self, verdict: Verdict<Bytes>) -> Bytes {
+        let failed = |status, code, text| match self.authz.fail_open {
+            true => allowed(),
+            false => denied(status, code, text, None),
+        };
+        match verdict {
+            Verdict::Served(answer) => answer,
+            Verdict::TurnDown(after) => {
+                denied(StatusCode::TooManyRequests, Code::ResourceExhausted, "turned down", Some(after))
+            }
+            Verdict::NoRoom(after) => {
+                denied(StatusCode::ServiceUnavailable, Code::ResourceExhausted, "no room", Some(after))
+            }
+            Verdict::Failed { timed_out: true } => {
+                failed(StatusCode::GatewayTimeout, Code::DeadlineExceeded, "no authoriser answered in time")
+            }
+            Verdict::Failed { timed_out: false } => {
+                failed(StatusCode::BadGateway, Code::Unavailable, "no authoriser answered")
+            }
+        }
+    }
+}
+
+fn headers(http: &HttpRequest) -> HashMap<&str, &str> {
+    let raw = http.header_map.iter().flat_map(|map| &map.headers).filter_map(|header| {
+        let value = if header.value.is_empty() {
+            std::str::from_utf8(&header.raw_value).ok()?
+        } else {
+            &header.value
+        };
+        Some((header.key.as_str(), value))
+    });
+    raw.chain(http.headers.iter().map(|(name, value)| (name.as_str(), value.as_str()))).collect()
+}
+
+/// A customer's number: what is written in 16 hex digits is one, any other name is hashed, to the same number
+/// at every instance.
+fn customer_id(name: &str) -> CustomerId {
+    let hex = name.len() == 16 && name.bytes().all(|b| b.is_ascii_hexdigit());
+    let number = u64::from_str_radix(name, 16).ok().filter(|_| hex);
+    // FNV-1a; messages between instances hold numbers of 63 bits.
+    let fnv = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, fnv);
+    CustomerId(number.unwrap_or(hash) & (u64::MAX >> 1))
+}
+
+/// `grpc-timeout`: up to 8 digits and a unit.
+fn timeout(value: &[u8]) -> Option<Millis> {
+    let (unit, digits) = value.split_last()?;
+    let good = (1..=8).contains(&digits.len()) && digits.iter().all(u8::is_ascii_digit);
+    let n: f64 = std::str::from_utf8(digits).ok().filter(|_| good)?.parse().ok()?;
+    let millis = match unit {
+        b'H' => 3_600_000.0,
+        b'M' => 60_000.0,
+        b'S' => 1000.0,
+        b'm' => 1.0,
+        b'u' => 1e-3,
+        b'n' => 1e-6,
+        _ => return None,
+    };
+    Some(n * millis)
+}
+
+/// The form of `grpc-timeout` that this program sends.
+fn timeout_of(wait: Millis) -> Duration {
+    Duration::from_millis(wait.max(1.0) as u64)
+}
+
+fn allowed() -> Bytes {
+    let ok = Some(HttpResponse::Ok(OkHttpResponse {}));
+    CheckResponse { status: Some(RpcStatus::default()), http_response: ok }.encode_to_vec().into()
+}
+
+fn denied(status: StatusCode, code: Code, text: &str, retry_after: Option<Millis>) -> Bytes {
+    let header = |key: &str, value: String| HeaderValueOption {
+        header: Some(HeaderValue { key: key.to_owned(), value, ..HeaderValue::default() }),
+    };
+    // In whole seconds, as clients of any proxy read it.
+    let after = |span: Millis| header("retry-after", (span / 1000.0).ceil().max(1.0).to_string());
+    let denied = DeniedHttpResponse {
+        status: Some(HttpStatus { code: status.into() }),
+        headers: retry_after.map(after).into_iter().collect(),
+        body: text.to_owned(),
+    };
+    let status = Some(RpcStatus { code: code.into(), message: text.to_owned() });
+    CheckResponse { status, http_response: Some(HttpResponse::Denied(denied)) }.encode_to_vec().into()
+}
--- /dev/null
+++ b/src/fronts/ext_authz/service.rs
@@ -0,0 +1,163 @@
+//! The server side: takes checks in over gRPC, awaits their verdicts at the exchange and answers them.
+
+use super::proto::{CHECK, Raw};
+use super::{Check, Front};
+use crate::exchange::Exchange;
+use crate::net::http::BODY;
+use bytes::Bytes;
+use slog::{Logger, info, warn};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::body::Body;
+use tonic::server::{Grpc, UnaryService};
+use tonic::transport::Server;
+use tonic::transport::server::Connected;
+use tonic::{Response, Status};
+use tower_service::Service;
+
+/// Checks at once on a connection: more wait at the proxy.
+const STREAMS: u32 = 256;
+
+type Boxed<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// The gRPC service.
+#[derive(Debug, Clone)]
+pub struct CheckService {
+    front: Arc<Front>,
+    exchange: Exchange<Check, Bytes>,
+}
+
+impl CheckService {
+    /// A service that hands its checks in at the exchange.
+    pub fn new(front: Arc<Front>, exchange: Exchange<Check, Bytes>) -> Self {
+        Self { front, exchange }
+    }
+}
+
+impl UnaryService<Bytes> for CheckService {
+    type Response = Bytes;
+    type Future = Boxed<Result<Response<Bytes>, Status>>;
+
+    fn call(&mut self, request: tonic::Request<Bytes>) -> Self::Future {
+        let this = self.clone();
+        Box::pin(async move {
+            let (metadata, _, message) = request.into_parts();
+            let check = Check { message, metadata };
+            let terms = this.front.read(&check)?;
+            // A caller that cancels drops this future, and with it the flow.
+            let verdict = this.exchange.arrive(terms, check).await;
+            Ok(Response::new(this.front.word(verdict)))
+        })
+    }
+}
+
+impl Service<http::Request<Body>> for CheckService {
+    type Response = http::Response<Body>;
+    type Error = Infallible;
+    type Future = Boxed<Result<Self::Response, Infallible>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: http::Request<Body>) -> Self::Future {
+        let this = self.clone();
+        Box::pin(async move {
+            if request.uri().path() != CHECK {
+                return Ok(Status::unimplemented("there is only Authorization/Check").into_http());
+            }
+            // Somewhat more than a check may hold is read, to say what is wrong with it.
+            let mut grpc = Grpc::new(Raw).max_decoding_message_size(2 * BODY);
+            Ok(grpc.unary(this, request).await)
+        })
+    }
+}
+
+/// Serves until `stop`, and then until all that was taken is answered.
+pub async fn serve(
+    service: CheckService,
+    listener: TcpListener,
+    most: usize,
+    stop: impl Future<Output = ()>,
+    log: Logger,
+) -> Result<(), tonic::transport::Error> {
+    let (sender, connections) = mpsc::channel(1);
+    let accepting = tokio::spawn(accept(listener, most, sender, log));
+    let connections = ReceiverStream::new(connections);
+    let server = Server::builder().max_concurrent_streams(STREAMS);
+    let served = { server }.serve_with_incoming_shutdown(service, connections, stop).await;
+    accepting.abort();
+    served
+}
+
+/// Takes connections in, up to the most; others wait in the backlog, so that descriptors are left for all else.
+async fn accept(
+    listener: TcpListener,
+    most: usize,
+    connections: mpsc::Sender<io::Result<Counted>>,
+    log: Logger,
+) {
+    let room = Arc::new(Semaphore::new(most));
+    while let Ok(permit) = room.clone().acquire_owned().await {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                if connections.send(Ok(Counted { stream, _permit: permit })).await.is_err() {
+                    info!(log, "no more connections are taken");
+                    return;
+                }
+            }
+            Err(e) => {
+                warn!(log, "a connection could not be accepted"; "error" => %e);
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// A connection that counts until it is closed.
+struct Counted {
+    stream: TcpStream,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connected for Counted {
+    type ConnectInfo = Option<SocketAddr>;
+
+    fn connect_info(&self) -> Self::ConnectInfo {
+        self.stream.peer_addr().ok()
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -115,9 +115,7 @@
             _ => {}
         }
     }
-    let most = if site.settings.largest > 0.0 { site.settings.largest } else { f64::MAX };
-    let units = units.filter(|units| *units > 0.0 && *units <= most)?;
-    let spread = spread.filter(|spread| (1..=site.settings.gateways).contains(spread))?;
-    let first = first.filter(|first| *first < site.settings.gateways)?;
+    let units = units.filter(|units| site.good_units(*units))?;
+    let (spread, first) = site.good_set(spread?, first?)?;
     Some((units, spread, first))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cli;
 pub mod config;
+pub mod consul;
 pub mod deadlines;
 pub mod engine;
 pub mod exchange;
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -2,16 +2,16 @@
 //! reports how each ended, once. Nothing is ever sent a second time here.
 
 use super::http::{Bad, Head, Kind, Message, take_message};
+use super::schedulings::{Ending, Job, Pool, Schedulings, Stage};
 use super::stream::{connect, read_more};
 use crate::config::Site;
 use crate::deadlines::Deadlines;
-use crate::exchange::{Exchange, News, Order, Report};
+use crate::exchange::{Exchange, Order};
 use crate::interface::*;
-use crate::net::discovery::List;
 use bytes::{Bytes, BytesMut};
 use slog::{Logger, debug};
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -41,52 +41,15 @@
 }
 
 type Flows = Exchange<Question, Answer>;
-type Id = (RequestId, AttemptNo);
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// Nothing was written yet: it waits for its connection.
-    Waiting,
-    /// Part of it may be written.
-    Writing,
-    /// Its last byte is written: it may run.
-    Written,
-}
-
-#[derive(Debug)]
-struct Job {
-    id: Id,
-    question: Question,
-    wait: Millis,
-    stage: Rc<Cell<Stage>>,
-    given_up: oneshot::Receiver<()>,
-}
-
-#[derive(Debug)]
-struct Running {
-    server: ServerId,
-    stage: Rc<Cell<Stage>>,
-    /// Once this is dropped its connection is closed, before anything else is done on it.
-    _go_on: oneshot::Sender<()>,
-}
-
-/// The way to an idle connection; once it is dropped the connection is closed.
-type Idle = oneshot::Sender<Job>;
-
-#[derive(Debug)]
-struct Pool {
-    at: SocketAddr,
-    started: Option<Millis>,
-    idle: Vec<Idle>,
-}
+type Work = Job<Question>;
+/// The ways to idle connections; once one is dropped, its connection is closed.
+type Idle = Vec<oneshot::Sender<Work>>;
 
 #[derive(Debug)]
 struct Inner {
-    pools: RefCell<BTreeMap<ServerId, Pool>>,
-    running: RefCell<HashMap<Id, Running>>,
+    schedulings: Schedulings<Question, Answer, Idle>,
     open: Cell<usize>,
     most: usize,
-    exchange: Flows,
     deadlines: Deadlines,
     site: Site,
     log: Logger,
@@ -99,35 +62,23 @@
 impl ClientSide {
     /// A client side that opens this many connections at the most.
     pub fn new(exchange: Flows, deadlines: Deadlines, site: Site, most: usize, log: Logger) -> Self {
-        let (pools, running, open) = Default::default();
-        Self(Rc::new(Inner { pools, running, open, most, exchange, deadlines, site, log }))
+        let (schedulings, open) = (Schedulings::new(exchange), Cell::new(0));
+        Self(Rc::new(Inner { schedulings, open, most, deadlines, site, log }))
     }
 
     /// Carries out orders until there are no more.
-    pub async fn run(self, mut orders: mpsc::UnboundedReceiver<Order<Question>>) {
-        while let Some(order) = orders.recv().await {
-            match order {
-                Order::Start { flow, no, server, question, wait } => {
-                    let stage = Rc::new(Cell::new(Stage::Waiting));
-                    let (go_on, given_up) = oneshot::channel();
-                    let running = Running { server, stage: stage.clone(), _go_on: go_on };
-                    self.0.running.borrow_mut().insert((flow, no), running);
-                    Inner::start(&self.0, server, Job { id: (flow, no), question, wait, stage, given_up });
-                }
-                Order::GiveUp(flow, no, outcome) => self.0.give_up((flow, no), outcome),
-                Order::List(list) => self.0.list(&list),
-            }
-        }
+    pub async fn run(self, orders: mpsc::UnboundedReceiver<Order<Question>>) {
+        self.0.schedulings.run(orders, |server, job| Inner::start(&self.0, server, job)).await;
     }
 }
 
 impl Inner {
-    fn start(this: &Rc<Self>, server: ServerId, mut job: Job) {
-        let mut pools = this.pools.borrow_mut();
+    fn start(this: &Rc<Self>, server: ServerId, mut job: Work) {
+        let mut pools = this.schedulings.pools.borrow_mut();
         let Some(pool) = pools.get_mut(&server) else {
-            return this.ended(job.id, Outcome::ConnectFailed, Load::default(), None);
+            return this.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed));
         };
-        while let Some(idle) = pool.idle.pop() {
+        while let Some(idle) = pool.kept.pop() {
             // One that has just ended gives the job back, unwritten.
             match idle.send(job) {
                 Ok(()) => return,
@@ -137,73 +88,27 @@
         let at = pool.at;
         if this.open.get() >= this.most && !evict(&mut pools) {
             debug!(this.log, "no descriptor for a connection to a real server"; "real_server" => %at);
-            return this.ended(job.id, Outcome::ConnectFailed, Load::default(), None);
+            return this.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed));
         }
         this.open.set(this.open.get() + 1);
         spawn_local(connection(Open(this.clone()), server, at, job));
     }
 
-    fn give_up(&self, id: Id, outcome: Outcome) {
-        let Some(running) = self.running.borrow_mut().remove(&id) else { return };
-        // What was not written whole has never run, whatever it was given up for.
-        let unwritten = running.stage.get() != Stage::Written && outcome == Outcome::TimedOut;
-        let outcome = if unwritten { Outcome::ConnectFailed } else { outcome };
-        self.report(id, outcome, Load::default(), None);
-    }
-
-    /// Reports the end of a scheduling that is no longer running.
-    fn report(&self, id: Id, outcome: Outcome, load: Load, answer: Option<Answer>) {
-        let (flow, no) = id;
-        self.exchange.tell(News::Ended(Report { flow, no, outcome, load, answer }));
-    }
-
-    /// A connection tells how its job ended, unless that was given up meanwhile.
-    fn ended(&self, id: Id, outcome: Outcome, load: Load, answer: Option<Answer>) {
-        if self.running.borrow_mut().remove(&id).is_some() {
-            self.report(id, outcome, load, answer);
-        }
-    }
-
-    fn list(&self, list: &List) {
-        let mut pools = self.pools.borrow_mut();
-        if list.whole {
-            pools.retain(|id, _| list.entries.iter().any(|e| e.entry.server == *id));
-        }
-        for e in &list.entries {
-            let (server, started) = (e.entry.server, e.entry.last_start);
-            match e.at.filter(|_| e.entry.state == ServerState::Ready) {
-                Some(at) if pools.get(&server).is_some_and(|p| (p.at, p.started) == (at, started)) => {}
-                // A real server that moved or started anew has none of the connections any more.
-                Some(at) => drop(pools.insert(server, Pool { at, started, idle: Vec::new() })),
-                None => drop(pools.remove(&server)),
-            }
-        }
-        // Prevents what still waits for its connection from starting on a drained real server.
-        let mut drained: Vec<Id> = Vec::new();
-        for (id, running) in self.running.borrow().iter() {
-            if running.stage.get() == Stage::Waiting && !pools.contains_key(&running.server) {
-                drained.push(*id);
-            }
-        }
-        drop(pools);
-        drained.into_iter().for_each(|id| self.give_up(id, Outcome::TimedOut));
-    }
-
     /// Puts a connection by for the next job; none where its real server is not to have any.
-    fn park(&self, server: ServerId, at: SocketAddr) -> Option<oneshot::Receiver<Job>> {
-        let mut pools = self.pools.borrow_mut();
+    fn park(&self, server: ServerId, at: SocketAddr) -> Option<oneshot::Receiver<Work>> {
+        let mut pools = self.schedulings.pools.borrow_mut();
         let pool = pools.get_mut(&server).filter(|pool| pool.at == at)?;
         let (idle, next) = oneshot::channel();
-        pool.idle.retain(|idle| !idle.is_closed());
-        pool.idle.push(idle);
+        pool.kept.retain(|idle| !idle.is_closed());
+        pool.kept.push(idle);
         Some(next)
     }
 }
 
 /// Closes the oldest idle connection of the pool that has most; false where none is idle.
-fn evict(pools: &mut BTreeMap<ServerId, Pool>) -> bool {
-    let most = pools.values_mut().max_by_key(|pool| pool.idle.len()).filter(|pool| !pool.idle.is_empty());
-    most.map(|pool| pool.idle.remove(0)).is_some()
+fn evict(pools: &mut BTreeMap<ServerId, Pool<Idle>>) -> bool {
+    let most = pools.values_mut().max_by_key(|pool| pool.kept.len()).filter(|pool| !pool.kept.is_empty());
+    most.map(|pool| pool.kept.remove(0)).is_some()
 }
 
 /// An open connection's share in the count.
@@ -215,23 +120,15 @@
     }
 }
 
-/// How a job went on a connection.
-struct Went {
-    outcome: Outcome,
-    load: Load,
-    answer: Option<Answer>,
-    /// The connection can carry another.
-    reusable: bool,
-}
+/// How a job went on a connection, and whether that can carry another.
+type Went = (Ending<Answer>, bool);
 
-impl Went {
-    fn badly(outcome: Outcome) -> Self {
-        Self { outcome, load: Load::default(), answer: None, reusable: false }
-    }
+fn badly(outcome: Outcome) -> Went {
+    (Ending::badly(outcome), false)
 }
 
 /// A connection's life: its first job, and those that come while it is idle.
-async fn connection(open: Open, server: ServerId, at: SocketAddr, mut job: Job) {
+async fn connection(open: Open, server: ServerId, at: SocketAddr, mut job: Work) {
     let side = open.0.clone();
     let connected = tokio::select! {
         biased;
@@ -239,18 +136,18 @@
         connected = side.deadlines.within(side.site.connect_timeout, connect(at)) => connected,
     };
     let Some(Ok(mut stream)) = connected else {
-        return side.ended(job.id, Outcome::ConnectFailed, Load::default(), None);
+        return side.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed));
     };
     let mut buffer = BytesMut::new();
     loop {
         let id = job.id;
-        let went = tokio::select! {
+        let (ending, reusable) = tokio::select! {
             biased;
             _ = &mut job.given_up => return,
             went = carry(&mut stream, &mut buffer, at, &job.question, job.wait, &job.stage, &side.site) => went,
         };
-        let next = if went.reusable { side.park(server, at) } else { None };
-        side.ended(id, went.outcome, went.load, went.answer);
+        let next = if reusable { side.park(server, at) } else { None };
+        side.schedulings.ended(id, ending);
         let Some(mut next) = next else { return };
         tokio::select! {
             biased;
@@ -291,21 +188,21 @@
     bytes.extend_from_slice(&question.body);
     stage.set(Stage::Writing);
     if stream.write_all(&bytes).await.is_err() {
-        return Went::badly(Outcome::ConnectFailed);
+        return badly(Outcome::ConnectFailed);
     }
     stage.set(Stage::Written);
     loop {
         let ended = match read_more(stream, buffer).await {
             Ok(more) => !more,
-            Err(_) => return Went::badly(Outcome::Reset),
+            Err(_) => return badly(Outcome::Reset),
         };
         match take_message(buffer, Kind::Response, ended) {
             Ok(Some(message)) => return judge(message, buffer.is_empty(), site),
-            Ok(None) if ended => return Went::badly(Outcome::Reset),
+            Ok(None) if ended => return badly(Outcome::Reset),
             Ok(None) => {}
             // Garbage, or more than a body may hold: it may have run.
             Err(Bad::Malformed | Bad::BodyTooLarge | Bad::HeadTooLarge) => {
-                return Went::badly(Outcome::Error);
+                return badly(Outcome::Error);
             }
         }
     }
@@ -323,7 +220,7 @@
     let load = load(head, &site.load_names);
     let reusable = !head.close && nothing_left;
     let answer = (outcome == Outcome::Served).then_some(Answer { body: message.body, content_type });
-    Went { outcome, load, answer, reusable }
+    (Ending { outcome, load, answer }, reusable)
 }
 
 /// The load report that an answer carries, as far as it can be read.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -16,8 +16,6 @@
 const SILENCE: Millis = 7000.0;
 /// A watch that fails is opened again after the first, then twice as long each time, up to the second.
 const BACKOFF: [Millis; 2] = [50.0, 2000.0];
-/// The longest line: some thousands of entries.
-const LINE: usize = 4 << 20;
 
 /// A service entry: a line of the list.
 #[derive(Debug, Clone, PartialEq)]
@@ -189,13 +187,15 @@
             if let Some(end) = self.line.iter().position(|b| *b == b'\n') {
                 return Ok(Some(self.line.split_to(end + 1)));
             }
-            match http::peek_chunk(&self.buffer, LINE) {
+            match http::peek_chunk(&self.buffer, http::LIST) {
                 Ok(Some((data, _))) if data.is_empty() => return Err("the watch was ended"),
                 Ok(Some((data, length))) => {
                     self.line.extend_from_slice(&self.buffer[data]);
                     drop(self.buffer.split_to(length));
                 }
-                Ok(None) if self.line.len() + self.buffer.len() > LINE => return Err("a line is too long"),
+                Ok(None) if self.line.len() + self.buffer.len() > http::LIST => {
+                    return Err("a line is too long");
+                }
                 Ok(None) => return Ok(None),
                 Err(_) => return Err("its chunks are malformed"),
             }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -5,6 +5,8 @@
 
 /// The most bytes of a body.
 pub const BODY: usize = 64 * 1024;
+/// The most bytes of a body that holds a list: some thousands of entries.
+pub const LIST: usize = 4 << 20;
 /// The most bytes of a head.
 pub const HEAD: usize = 8 * 1024;
 /// The most bytes of a message that is still incomplete: chunks have some overhead.
@@ -36,6 +38,15 @@
     Request,
     /// Responses to `GET` or `POST`.
     Response,
+    /// Responses that may hold a long list.
+    ListResponse,
+}
+
+impl Kind {
+    /// The most bytes of a body.
+    fn most(self) -> usize {
+        if self == Self::ListResponse { LIST } else { BODY }
+    }
 }
 
 /// A head, and how its body is framed.
@@ -114,7 +125,8 @@
         let connection = self.get("connection");
         let close = has(connection, "close") || old && !has(connection, "keep-alive");
         let (length, encoding) = (self.only("content-length")?, self.only("transfer-encoding")?);
-        let bodiless = kind == Kind::Response && matches!(self.status(), 100..200 | 204 | 304);
+        let response = kind != Kind::Request;
+        let bodiless = response && matches!(self.status(), 100..200 | 204 | 304);
         let framing = match (length, encoding) {
             _ if bodiless => Framing::Length(0),
             // Prevents a message that two readers would cut in different places.
@@ -128,12 +140,12 @@
                 let text = std::str::from_utf8(digits).map_err(|_| Bad::Malformed)?;
                 Framing::Length(text.parse().map_err(|_| Bad::BodyTooLarge)?)
             }
-            (None, None) if kind == Kind::Response => Framing::End,
+            (None, None) if response => Framing::End,
             (None, None) => Framing::Length(0),
         };
         (self.framing, self.close) = (framing, close || framing == Framing::End);
         match framing {
-            Framing::Length(n) if n > BODY => Err(Bad::BodyTooLarge),
+            Framing::Length(n) if n > kind.most() => Err(Bad::BodyTooLarge),
             _ => Ok(()),
         }
     }
@@ -162,7 +174,7 @@
             let start = Start::Request { method: here(method.as_bytes()), target: here(target.as_bytes()) };
             (start, request.version, request.headers, n)
         }
-        Kind::Response => {
+        Kind::Response | Kind::ListResponse => {
             let mut response = httparse::Response::new(&mut headers);
             let Some(n) = parsed(response.parse(buffer))? else { return Ok(None) };
             (Start::Response { status: response.code.unwrap_or(0) }, response.version, response.headers, n)
@@ -203,15 +215,15 @@
     }
 }
 
-fn chunked_body(mut rest: &[u8]) -> Result<Option<(Bytes, usize)>, Bad> {
+fn chunked_body(mut rest: &[u8], most: usize) -> Result<Option<(Bytes, usize)>, Bad> {
     let (mut body, mut used) = (BytesMut::new(), 0);
-    while let Some((data, length)) = peek_chunk(rest, BODY)? {
+    while let Some((data, length)) = peek_chunk(rest, most)? {
         used += length;
         if data.is_empty() {
             return Ok(Some((body.freeze(), used)));
         }
         body.extend_from_slice(&rest[data]);
-        if body.len() > BODY {
+        if body.len() > most {
             return Err(Bad::BodyTooLarge);
         }
         rest = &rest[length..];
@@ -232,21 +244,21 @@
             let mut whole = buffer.split();
             whole.split_off(length).freeze()
         }
-        Framing::Chunked => match chunked_body(&buffer[length..])? {
+        Framing::Chunked => match chunked_body(&buffer[length..], kind.most())? {
             Some((body, used)) => {
                 drop(buffer.split_to(length + used));
                 body
             }
-            None => return more(buffer),
+            None => return more(buffer, kind),
         },
-        Framing::Length(_) | Framing::End => return more(buffer),
+        Framing::Length(_) | Framing::End => return more(buffer, kind),
     };
-    if body.len() > BODY {
+    if body.len() > kind.most() {
         return Err(Bad::BodyTooLarge);
     }
     Ok(Some(Message { head, body }))
 }
 
-fn more(buffer: &BytesMut) -> Result<Option<Message>, Bad> {
-    if buffer.len() > MESSAGE { Err(Bad::BodyTooLarge) } else { Ok(None) }
+fn more(buffer: &BytesMut, kind: Kind) -> Result<Option<Message>, Bad> {
+    if buffer.len() > MESSAGE - BODY + kind.most() { Err(Bad::BodyTooLarge) } else { Ok(None) }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,5 +6,6 @@
 pub mod discovery;
 pub mod http;
 pub mod peers;
+pub mod schedulings;
 pub mod server_side;
 pub mod stream;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,44 +1,137 @@
-//! Puts an ingress together: the platform's front round one engine, until it is told to stop.
+//! Puts an instance together: one front round one engine, until it is told to stop.
 
-use crate::config::Config;
+use crate::config::{AuthzConfig, Config, Instance};
+use crate::consul::Watch;
 use crate::deadlines::{Clock, Deadlines};
 use crate::engine::{Bounds, Engine, Outlets};
-use crate::exchange::{Exchange, News};
+use crate::exchange::{Exchange, News, Order};
+use crate::fronts::ext_authz::authorisers::Authorisers;
+use crate::fronts::ext_authz::service::{self, CheckService};
+use crate::fronts::ext_authz::{Check, Front};
 use crate::fronts::platform;
 use crate::interface::Millis;
 use crate::net::client_side::{Answer, ClientSide, Question};
 use crate::net::counter::Counter;
-use crate::net::discovery::Discovery;
+use crate::net::discovery::{Discovery, List};
 use crate::net::peers::Peers;
 use crate::net::server_side::{Phase, ServerSide};
 use crate::state::Limiter;
+use bytes::Bytes;
 use slog::{Logger, info};
 use std::future::Future;
 use std::io;
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
-/// An ingress is ready once discovery has told its list, or after this time with the list it had.
+/// An instance is ready once the list has been told, or after this time with the list it had.
 const LIST_WAIT: Millis = 1000.0;
 /// Told to stop, it serves on for this long: new connections still come for up to 0.4 s.
 const SERVE_ON: Millis = 550.0;
 /// Then it ends once all is answered, at the latest after the longest deadline and this.
 const DRAIN_SLACK: Millis = 100.0;
+/// The most checks at once for each connection that clients may have.
+const CHECKS: usize = 4;
 
-/// Why an ingress could not run.
-pub type Error = Box<dyn std::error::Error>;
-
-/// Runs an ingress until `stop`, and then until all that it took is answered.
-pub fn run(config: Config, log: Logger, stop: impl Future<Output = ()> + 'static) -> Result<(), Error> {
+/// Runs a future on a runtime of one thread.
+pub fn block_on<F: Future<Output = io::Result<()>>>(future: F) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    Ok(LocalSet::new().block_on(&runtime, async {
-        let listener = TcpListener::bind(config.listen).await?;
-        serve(config, listener, log, stop).await
-    })?)
+    LocalSet::new().block_on(&runtime, future)
+}
+
+/// What both fronts have in common: an engine with its ways to the counter and the peers.
+struct Core<Q, A> {
+    deadlines: Deadlines,
+    exchange: Exchange<Q, A>,
+    orders: mpsc::UnboundedReceiver<Order<Q>>,
+    engine: JoinHandle<()>,
+    /// The most connections of clients and to real servers.
+    most: [usize; 2],
+    longest: Millis,
+    told: watch::Sender<bool>,
+}
+
+impl<Q: Clone + 'static, A: 'static> Core<Q, A> {
+    async fn start(instance: &Instance, known: List, flows: usize, log: &Logger) -> io::Result<Self> {
+        let deadlines = Deadlines::new(Clock::new());
+        let site = &instance.site;
+        let limiter = Limiter::new(site.settings.clone(), instance.seed).map_err(io::Error::other)?;
+        let (exchange, news) = Exchange::new();
+        let (orders, ordered) = mpsc::unbounded_channel();
+        let mut outlets = Outlets { orders, counter: None, peers: None };
+        if let Some(at) = instance.counter.filter(|_| site.settings.counter) {
+            let (calls, made) = mpsc::unbounded_channel();
+            let exchange = exchange.clone();
+            let counter = Counter { at, deadlines: deadlines.clone(), log: log.clone() };
+            spawn_local(counter.run(made, move |seq, answer| exchange.tell(News::Counted(seq, answer))));
+            outlets.counter = Some(calls);
+        }
+        if let Some(at) = instance.peer_listen.filter(|_| site.settings.peers) {
+            let peers = Peers::listen(at, instance.peers.clone(), log.clone()).await?;
+            let (mail, sent) = mpsc::unbounded_channel();
+            let exchange = exchange.clone();
+            spawn_local(peers.run(sent, move |from, bytes| exchange.tell(News::Heard(from, bytes))));
+            outlets.peers = Some(mail);
+        }
+        let bounds = Bounds {
+            flows,
+            schedulings: site.settings.max_attempts,
+            counter_timeout: site.settings.counter_timeout,
+            retry_after: site.max_retry_after,
+        };
+        let engine = Engine::new(limiter, deadlines.clone(), news, outlets, bounds, log.clone());
+        Ok(Self {
+            deadlines,
+            exchange,
+            orders: ordered,
+            engine: spawn_local(engine.run(known)),
+            most: instance.limits.connections(),
+            longest: site.classes.iter().map(|class| class.give_up).fold(0.0, f64::max),
+            told: watch::Sender::new(false),
+        })
+    }
+
+    /// Where lists are told.
+    fn teller(&self) -> impl FnMut(List) + use<Q, A> {
+        let (exchange, told) = (self.exchange.clone(), self.told.clone());
+        move |list| {
+            exchange.tell(News::Listed(list));
+            told.send_replace(true);
+        }
+    }
+
+    /// Serves until `stop` and then until `taking`, which watches the phase, has answered all.
+    async fn serve(
+        mut self,
+        instance: &Instance,
+        phase: watch::Sender<Phase>,
+        mut taking: JoinHandle<()>,
+        stop: JoinHandle<()>,
+        log: Logger,
+    ) -> io::Result<()> {
+        let mut told = self.told.subscribe();
+        let _ = self.deadlines.within(LIST_WAIT, told.wait_for(|told| *told)).await;
+        phase.send_replace(Phase::Serving);
+        info!(log, "serving"; "name" => &instance.name, "listen" => %instance.listen);
+        tokio::select! {
+            _ = stop => {}
+            // Without its engine an instance is none: its exit tells the operators.
+            ended = &mut self.engine => {
+                return Err(io::Error::other(format!("the engine ended: {ended:?}")));
+            }
+        }
+        info!(log, "stopping");
+        phase.send_replace(Phase::Stopping);
+        self.deadlines.sleep(SERVE_ON).await;
+        phase.send_replace(Phase::Draining);
+        let drained = self.deadlines.within(self.longest + DRAIN_SLACK, &mut taking).await.is_some();
+        info!(log, "stopped"; "all_answered" => drained);
+        Ok(())
+    }
 }
 
-/// The same on a listener that is bound already, within a local task set.
+/// Runs an ingress of the platform on a listener, within a local task set.
 pub async fn serve(
     config: Config,
     listener: TcpListener,
@@ -47,74 +140,54 @@
 ) -> io::Result<()> {
     // Polled from now on: a signal during the start is not missed.
     let stop = spawn_local(stop);
-    let deadlines = Deadlines::new(Clock::new());
-    let site = config.site;
-    let limiter = Limiter::new(site.settings.clone(), config.seed).map_err(io::Error::other)?;
-    let (exchange, news) = Exchange::<Question, Answer>::new();
-    let [clients, servers] = config.limits.connections();
-    let longest = site.classes.iter().map(|class| class.give_up).fold(0.0, f64::max);
-
-    let (orders, ordered) = mpsc::unbounded_channel();
+    let Config { instance, discovery: agent, known } = config;
+    let (site, generation) = (&instance.site, known.generation);
+    let flows = instance.limits.connections()[0];
+    let mut core = Core::<Question, Answer>::start(&instance, known, flows, &log).await?;
+    let (deadlines, exchange, [clients, servers]) =
+        (core.deadlines.clone(), core.exchange.clone(), core.most);
     let side = ClientSide::new(exchange.clone(), deadlines.clone(), site.clone(), servers, log.clone());
-    spawn_local(side.run(ordered));
-
-    let mut outlets = Outlets { orders, counter: None, peers: None };
-    if let Some(at) = config.counter.filter(|_| site.settings.counter) {
-        let (calls, made) = mpsc::unbounded_channel();
-        let (exchange, deadlines) = (exchange.clone(), deadlines.clone());
-        let counter = Counter { at, deadlines, log: log.clone() };
-        spawn_local(counter.run(made, move |seq, answer| exchange.tell(News::Counted(seq, answer))));
-        outlets.counter = Some(calls);
-    }
-    if let Some(at) = config.peer_listen.filter(|_| site.settings.peers) {
-        let peers = Peers::listen(at, config.peers, log.clone()).await?;
-        let (mail, sent) = mpsc::unbounded_channel();
-        let exchange = exchange.clone();
-        spawn_local(peers.run(sent, move |from, bytes| exchange.tell(News::Heard(from, bytes))));
-        outlets.peers = Some(mail);
-    }
-
-    let (told, mut list_told) = watch::channel(false);
-    let (watching, generation) = (exchange.clone(), config.known.generation);
-    let discovery = Discovery {
-        agent: config.discovery,
-        site: site.clone(),
-        deadlines: deadlines.clone(),
-        log: log.clone(),
-    };
-    spawn_local(discovery.run(generation, move |list| {
-        watching.tell(News::Listed(list));
-        told.send_replace(true);
-    }));
-
-    let bounds = Bounds {
-        flows: clients,
-        schedulings: site.settings.max_attempts,
-        counter_timeout: site.settings.counter_timeout,
-        retry_after: site.max_retry_after,
-    };
-    let engine = Engine::new(limiter, deadlines.clone(), news, outlets, bounds, log.clone());
-    let mut engine = spawn_local(engine.run(config.known));
-
+    spawn_local(side.run(std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1)));
+    let discovery = Discovery { agent, site: site.clone(), deadlines: deadlines.clone(), log: log.clone() };
+    spawn_local(discovery.run(generation, core.teller()));
     let (phase, phases) = watch::channel(Phase::Starting);
     let room = (clients, site.max_retry_after);
-    let read = move |message: &_| platform::read(message, &site);
-    let server_side = ServerSide::new(read, exchange, deadlines.clone(), phases, room, log.clone());
-    let mut taking = spawn_local(server_side.run(listener));
+    let reader = site.clone();
+    let read = move |message: &_| platform::read(message, &reader);
+    let side = ServerSide::new(read, exchange, deadlines, phases, room, log.clone());
+    let taking = spawn_local(side.run(listener));
+    core.serve(&instance, phase, taking, stop, log).await
+}
 
-    deadlines.within(LIST_WAIT, list_told.wait_for(|told| *told)).await;
-    phase.send_replace(Phase::Serving);
-    info!(log, "serving"; "name" => &config.name, "listen" => %config.listen);
-    tokio::select! {
-        _ = stop => {}
-        // Without its engine an ingress is none: its exit tells the operators.
-        ended = &mut engine => return Err(io::Error::other(format!("the engine ended: {ended:?}"))),
-    }
-    info!(log, "stopping");
-    phase.send_replace(Phase::Stopping);
-    deadlines.sleep(SERVE_ON).await;
-    phase.send_replace(Phase::Draining);
-    let drained = deadlines.within(longest + DRAIN_SLACK, &mut taking).await.is_some();
-    info!(log, "stopped"; "all_answered" => drained);
-    Ok(())
+/// Runs an instance of the authorisation front on a listener, within a local task set.
+pub async fn serve_authz(
+    config: AuthzConfig,
+    listener: TcpListener,
+    log: Logger,
+    stop: impl Future<Output = ()> + 'static,
+) -> io::Result<()> {
+    let stop = spawn_local(stop);
+    let AuthzConfig { instance, consul, authz } = config;
+    let site = &instance.site;
+    let flows = instance.limits.connections()[0] * CHECKS;
+    let mut core = Core::<Check, Bytes>::start(&instance, List::default(), flows, &log).await?;
+    let (deadlines, exchange, [clients, _]) = (core.deadlines.clone(), core.exchange.clone(), core.most);
+    let side = Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), log.clone());
+    spawn_local(side.run(std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1)));
+    let watch = Watch { consul, site: site.clone(), deadlines, log: log.clone() };
+    spawn_local(watch.run(core.teller()));
+    let (phase, mut phases) = watch::channel(Phase::Starting);
+    let service = CheckService::new(Arc::new(Front { site: site.clone(), authz }), exchange);
+    let draining = async move {
+        let _ = phases.wait_for(|phase| *phase == Phase::Draining).await;
+    };
+    let (mut starting, told) = (phase.subscribe(), log.clone());
+    let taking = spawn_local(async move {
+        // Checks that come before the first list wait in the backlog.
+        let _ = starting.wait_for(|phase| *phase >= Phase::Serving).await;
+        if let Err(e) = service::serve(service, listener, clients, draining, told.clone()).await {
+            info!(told, "serving ended"; "error" => %e);
+        }
+    });
+    core.serve(&instance, phase, taking, stop, log).await
 }
--- /dev/null
+++ b/tests/ext_authz.rs
@@ -0,0 +1,360 @@
+//! The authorisation front, from a caller's check to an authoriser and back, against stand-ins.
+
+mod stand_ins;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use prost::Message;
+use stand_ins::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::task::{JoinHandle, spawn_local};
+use tonic::{Code, Status};
+use weldhub::config::AuthzConfig;
+use weldhub::fronts::ext_authz::authorisers::{call, open};
+use weldhub::fronts::ext_authz::proto::*;
+use weldhub::node;
+
+/// The operator's file as it is shipped, for this Consul and with these changes.
+fn config(consul: &Consul, changes: &[(&str, &str)]) -> AuthzConfig {
+    let mut text = include_str!("../deploy/ext-authz.toml").replace("127.0.0.1:8500", &consul.at.to_string());
+    for (old, new) in changes {
+        assert!(text.contains(old), "{old}");
+        text = text.replace(old, new);
+    }
+    AuthzConfig::read(&text, |_| None).unwrap()
+}
+
+/// Starts an instance; tells where it listens.
+async fn start(config: AuthzConfig) -> SocketAddr {
+    let listener = listener().await;
+    let at = listener.local_addr().unwrap();
+    spawn_local(node::serve_authz(config, listener, quiet(), std::future::pending()));
+    at
+}
+
+/// An allowing verdict, with fields that weldhub does not know.
+fn allow() -> Bytes {
+    let mut bytes = BytesMut::from(&[0x0a, 0x00, 0x1a, 0x00][..]);
+    bytes.put_slice(&[0xfa, 0x3e, 0x03, 1, 2, 3]);
+    bytes.freeze()
+}
+
+fn deny() -> Bytes {
+    let status = Some(RpcStatus { code: 7, message: "not in this round".into() });
+    let denied = DeniedHttpResponse { body: "no".into(), ..Default::default() };
+    CheckResponse { status, http_response: Some(HttpResponse::Denied(denied)) }.encode_to_vec().into()
+}
+
+fn message(path: &str, units: u32) -> Bytes {
+    let headers = [
+        ("x-club", "Almaty-7"),
+        ("x-tier", "club"),
+        ("x-units", &units.to_string()),
+        ("idempotency-key", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
+    ];
+    let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
+    let http = HttpRequest { method: "POST".into(), path: path.into(), headers, header_map: None };
+    let request = Some(Request { http: Some(http) });
+    let attributes = AttributeContext { request, context_extensions: BTreeMap::new() };
+    CheckRequest { attributes: Some(attributes) }.encode_to_vec().into()
+}
+
+async fn check(at: SocketAddr, message: Bytes, timeout: &'static str) -> Result<Bytes, Status> {
+    let sender = open(at).await.unwrap();
+    let mut request = tonic::Request::new(message);
+    request.metadata_mut().insert("grpc-timeout", timeout.parse().unwrap());
+    call(sender, at, request).await.map_err(|(_, status)| status)
+}
+
+async fn ask(at: SocketAddr, path: &str, units: u32) -> Bytes {
+    check(at, message(path, units), "2000m").await.unwrap()
+}
+
+/// The status that a verdict denies with; 0 for one that does not.
+fn denial(answer: &Bytes) -> (i32, Option<String>) {
+    match CheckResponse::decode(answer.clone()).unwrap().http_response {
+        Some(HttpResponse::Denied(denied)) => {
+            let after = denied.headers.into_iter().filter_map(|h| h.header).find(|h| h.key == "retry-after");
+            (denied.status.unwrap_or_default().code, after.map(|h| h.value))
+        }
+        _ => (0, None),
+    }
+}
+
+const MOVE: &str = "/api/moves/17?x=1";
+const BOARD: &str = "/api/boards/17";
+
+#[test]
+fn an_authorisers_verdict_passes_unchanged_and_so_does_the_check() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let at = start(config(&consul, &[])).await;
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+        authoriser.behave(Manner::Answer(deny()));
+        assert_eq!(ask(at, MOVE, 1).await, deny());
+        let calls = authoriser.calls.lock().unwrap();
+        assert_eq!(
+            calls.iter().map(|(m, _)| m.clone()).collect::<Vec<_>>(),
+            [message(BOARD, 1), message(MOVE, 1)]
+        );
+        assert!(calls.iter().all(|(_, timeout)| timeout.is_some()), "each is told how long weldhub waits");
+    });
+}
+
+#[test]
+fn a_customer_beyond_its_quota_is_turned_down_at_once_and_not_scheduled() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let at = start(config(&consul, &[("perSecond = 5.8 ", "perSecond = 0.001 ")])).await;
+        // 27 units may be used at once.
+        for _ in 0..4 {
+            assert_eq!(ask(at, BOARD, 6).await, allow());
+        }
+        let (status, after) = denial(&ask(at, MOVE, 6).await);
+        assert_eq!((status, after.as_deref()), (429, Some("1")));
+        // What fits is still let in, and what was turned down was never sent, then or later.
+        assert_eq!(ask(at, BOARD, 3).await, allow());
+        assert_eq!(authoriser.count(), 5);
+        assert!(authoriser.calls.lock().unwrap().iter().all(|(m, _)| *m != message(MOVE, 6)));
+    });
+}
+
+#[test]
+fn a_stalled_authoriser_costs_a_denial_within_the_callers_time() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Stall).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let at = start(config(&consul, &[])).await;
+        // The gRPC server would answer CANCELLED itself, once the caller's time is over.
+        let answer = check(at, message(MOVE, 1), "400m").await.unwrap();
+        assert_eq!(denial(&answer).0, 504);
+        authoriser.dropped.notified().await;
+    });
+}
+
+/// Both authorisers, each a cell of its own.
+async fn two_cells(manner: Manner) -> (Authoriser, Authoriser, Consul) {
+    let (a, b) = (Authoriser::start(manner.clone()).await, Authoriser::start(manner).await);
+    let both = vec![instance("a", a.at, 0, "passing"), instance("b", b.at, 1, "passing")];
+    let consul = Consul::start(both).await;
+    (a, b, consul)
+}
+
+#[test]
+fn a_keyed_check_that_may_have_run_keeps_to_its_cell_whatever_code_it_fails_with() {
+    local(async {
+        for manner in [Manner::Fail(Code::Unavailable), Manner::Fail(Code::ResourceExhausted), Manner::Vanish]
+        {
+            let (a, b, consul) = two_cells(manner).await;
+            let at = start(config(&consul, &[])).await;
+            assert_eq!(denial(&ask(at, MOVE, 1).await).0, 502);
+            assert!((a.count() == 0) != (b.count() == 0), "{} and {}", a.count(), b.count());
+        }
+    });
+}
+
+#[test]
+fn a_safe_check_whose_authoriser_vanishes_is_served_by_another() {
+    local(async {
+        let (a, b, consul) = two_cells(Manner::VanishOnce(Arc::default(), allow())).await;
+        let at = start(config(&consul, &[])).await;
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+        assert_eq!((a.count(), b.count()), (1, 1));
+    });
+}
+
+#[test]
+fn an_authoriser_that_was_never_reached_does_not_bind_a_keyed_check_to_its_cell() {
+    local(async {
+        // Nobody listens where the first one is said to be.
+        let nobody = listener().await.local_addr().unwrap();
+        let b = Authoriser::start(Manner::Answer(allow())).await;
+        let consul =
+            Consul::start(vec![instance("a", nobody, 0, "passing"), instance("b", b.at, 1, "passing")]).await;
+        let at = start(config(&consul, &[])).await;
+        for _ in 0..6 {
+            assert_eq!(ask(at, MOVE, 1).await, allow());
+        }
+    });
+}
+
+#[test]
+fn a_caller_that_cancels_takes_its_scheduling_with_it() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Stall).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let at = start(config(&consul, &[])).await;
+        let asking: JoinHandle<Bytes> = spawn_local(async move { ask(at, BOARD, 1).await });
+        authoriser.called.notified().await;
+        asking.abort();
+        authoriser.dropped.notified().await;
+        assert_eq!(authoriser.count(), 1, "what nobody waits for is not scheduled again");
+    });
+}
+
+#[test]
+fn an_authoriser_whose_health_turns_critical_gets_nothing_new_and_finishes_what_it_has() {
+    local(async {
+        let (a, b, consul) = two_cells(Manner::Answer(allow())).await;
+        let at = start(config(&consul, &[])).await;
+        ask(at, BOARD, 1).await;
+        consul.set(None, vec![instance("a", a.at, 0, "critical"), instance("b", b.at, 1, "warning")]);
+        // Two more queries: the change was told and the watch goes on from it.
+        let asked = consul.asked.borrow().len();
+        until(|| consul.asked.borrow().len() > asked).await;
+        let before = a.count();
+        for _ in 0..6 {
+            assert_eq!(ask(at, BOARD, 1).await, allow());
+        }
+        assert_eq!(a.count(), before);
+        // Gone altogether, with a check still out: that one is answered.
+        b.behave(Manner::Stall);
+        let asking = spawn_local(async move { check(at, message(MOVE, 1), "900m").await.unwrap() });
+        until(|| b.calls.lock().unwrap().iter().any(|(m, _)| *m == message(MOVE, 1))).await;
+        consul.set(None, vec![]);
+        assert_eq!(denial(&asking.await.unwrap()).0, 504);
+        assert_eq!(denial(&ask(at, BOARD, 1).await).0, 429, "with nobody left it may come again later");
+    });
+}
+
+#[test]
+fn while_all_authorisers_stall_every_check_has_one_answer_and_service_returns_with_them() {
+    local(async {
+        let (a, b, consul) = two_cells(Manner::Stall).await;
+        let at = start(config(&consul, &[("storeSize = 27.0", "storeSize = 1000.0")])).await;
+        let paths = [BOARD, MOVE].into_iter().cycle().take(30);
+        let asking: Vec<_> = paths.map(|path| spawn_local(check(at, message(path, 1), "500m"))).collect();
+        for one in asking {
+            let (status, after) = denial(&one.await.unwrap().unwrap());
+            assert!(matches!((status, after), (429, Some(_)) | (502 | 504, None)), "{status}");
+        }
+        a.behave(Manner::Answer(allow()));
+        b.behave(Manner::Answer(allow()));
+        // Ejected authorisers are tried again after a while.
+        while ask(at, BOARD, 1).await != allow() {}
+    });
+}
+
+/// Checks of 3 units that two instances of one fleet let in, asked in turn; 27 units may be used at once.
+async fn let_in_by_two(consul: &Consul, changes: &[(&str, &str)]) -> [u32; 2] {
+    let mut at = Vec::new();
+    for number in ["myNumber = 0", "myNumber = 1"] {
+        let mut all = vec![("balancers = 1", "balancers = 2"), ("perSecond = 5.8 ", "perSecond = 0.001 ")];
+        all.push(("myNumber = 0", number));
+        all.extend(changes);
+        at.push(start(config(consul, &all)).await);
+    }
+    let mut allowed = [0, 0];
+    for i in (0..24).map(|n| n % 2) {
+        let answer = check(at[i], message("/game-record/5", 3), "3S").await.unwrap();
+        allowed[i] += u32::from(answer == allow());
+    }
+    allowed
+}
+
+#[test]
+fn two_instances_share_a_quota_over_the_counter_and_grant_even_slices_without() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        // Half of 27 units each: four checks of 3.
+        assert_eq!(let_in_by_two(&consul, &[]).await, [4, 4]);
+        assert_eq!(authoriser.count(), 8, "each check counts once");
+        let counter = Counter::start().await;
+        let at = format!("counter = \"{}\"", counter.at);
+        let shared = [
+            ("# counter = \"127.0.0.1:6400\"", at.as_str()),
+            ("hasCounter = false", "hasCounter = true"),
+            // No verdict here depends on how fast the machine is.
+            ("counterTimeout = 50.0", "counterTimeout = 900.0"),
+        ];
+        let allowed = let_in_by_two(&consul, &shared).await;
+        // Each hears what the other drew, and takes it off what it holds itself.
+        let sum = allowed[0] + allowed[1];
+        assert!(allowed[0] > 0 && allowed[1] > 0 && sum < 8, "{allowed:?}");
+        assert_eq!(authoriser.count() as u32, 8 + sum);
+        let counted: f64 = counter.numbers.borrow().values().sum();
+        // A turned-down check's units go back with the next call: one of each instance may still be there.
+        assert!((3 * sum..=3 * sum + 6).contains(&(counted as u32)), "{counted} for {allowed:?}");
+    });
+}
+
+#[test]
+fn a_bad_check_is_an_invalid_argument_and_reaches_nobody() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let at = start(config(&consul, &[])).await;
+        let without = |name: &str, value: Option<&str>| {
+            let mut check = CheckRequest::decode(message(MOVE, 1)).unwrap();
+            let attributes = check.attributes.as_mut().unwrap();
+            let headers = &mut attributes.request.as_mut().unwrap().http.as_mut().unwrap().headers;
+            headers.remove(name);
+            value.map(|value| headers.insert(name.to_owned(), value.to_owned()));
+            Bytes::from(check.encode_to_vec())
+        };
+        let bad = [
+            Bytes::from_static(b"\xff\xff\xff garbage"),
+            Bytes::new(),
+            message("/nowhere", 1),
+            message(BOARD, 7),
+            message(BOARD, 0),
+            without("x-club", None),
+            without("x-tier", Some("gold")),
+            without("idempotency-key", None),
+            without("x-units", Some("many")),
+            without("x-set", Some("spread=0,first=0")),
+            without("x-long", Some(&"x".repeat(70_000))),
+        ];
+        for check_of in bad {
+            let status = check(at, check_of, "500m").await.unwrap_err();
+            assert_eq!(status.code(), Code::InvalidArgument, "{status}");
+        }
+        assert_eq!(authoriser.count(), 0);
+        assert_eq!(ask(at, MOVE, 1).await, allow());
+    });
+}
+
+#[test]
+fn only_where_the_operator_says_so_do_failures_allow() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(Bytes::from_static(b"\xff garbage"))).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let closed = start(config(&consul, &[])).await;
+        assert_eq!(denial(&ask(closed, MOVE, 1).await).0, 502, "garbage is no verdict");
+        let open = start(config(&consul, &[("fail_open = false", "fail_open = true")])).await;
+        let answer = CheckResponse::decode(ask(open, MOVE, 1).await).unwrap();
+        assert!(matches!(answer.http_response, Some(HttpResponse::Ok(_))));
+        assert_eq!(answer.status.unwrap().code, 0);
+    });
+}
+
+#[test]
+fn consul_may_go_back_fail_or_lie_and_the_list_stays() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let at = start(config(&consul, &[("wait_ms = 55000", "wait_ms = 100")])).await;
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+        let more_queries = |n: usize| {
+            let (asked, before) = (consul.asked.clone(), consul.asked.borrow().len());
+            until(move || asked.borrow().len() >= before + n)
+        };
+        for lie in [(500, "no leader"), (200, "not json"), (200, "{}"), (200, "[]")] {
+            *consul.lie.borrow_mut() = Some((lie.0, lie.1.into()));
+            more_queries(2).await;
+            assert_eq!(ask(at, BOARD, 1).await, allow(), "after {lie:?}");
+        }
+        *consul.lie.borrow_mut() = None;
+        more_queries(2).await;
+        // The index goes back: the next query does not wait for the old one.
+        consul.set(Some(3), vec![instance("a", authoriser.at, 0, "passing")]);
+        consul.asked.borrow_mut().clear();
+        until(|| consul.asked.borrow().iter().any(|target| target.contains("index=3&"))).await;
+        assert!(consul.asked.borrow().iter().any(|target| !target.contains("index=")));
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+    });
+}
--- /dev/null
+++ b/tests/stand_ins/mod.rs
@@ -0,0 +1,272 @@
+//! Stand-ins for what an instance talks with, written after the published protocols: authorisers, Consul, the
+//! counter, discovery and real servers. All listen on loopback, at ports of the system's choice.
+#![allow(dead_code)]
+
+use bytes::{Bytes, BytesMut};
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::task::{AbortHandle, LocalSet, spawn_local};
+use tonic::server::{Grpc, UnaryService};
+use tonic::{Response, Status};
+use weldhub::fronts::ext_authz::proto::Raw;
+use weldhub::net::http::{Kind, Message, take_message};
+
+/// Runs a test on one thread; it fails if it takes longer than anything here may.
+pub fn local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let limited = async { tokio::time::timeout(std::time::Duration::from_secs(60), test).await.unwrap() };
+    LocalSet::new().block_on(&runtime, limited);
+}
+
+pub async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+pub fn quiet() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+/// The next message on a stream; none once it has ended.
+pub async fn message(stream: &mut TcpStream, buffer: &mut BytesMut, kind: Kind) -> Option<Message> {
+    loop {
+        if let Some(message) = take_message(buffer, kind, false).unwrap() {
+            return Some(message);
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// Waits until something is so.
+pub async fn until(mut so: impl FnMut() -> bool) {
+    while !so() {
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+    }
+}
+
+/// How an authoriser behaves.
+#[derive(Debug, Clone)]
+pub enum Manner {
+    Answer(Bytes),
+    Fail(tonic::Code),
+    Stall,
+    /// It closes its connections in the middle of a call.
+    Vanish,
+    /// The first of those that share the flag does, once; all others answer.
+    VanishOnce(Arc<AtomicBool>, Bytes),
+}
+
+type Calls = Arc<Mutex<Vec<(Bytes, Option<String>)>>>;
+
+/// An authoriser.
+#[derive(Clone)]
+pub struct Authoriser {
+    pub at: SocketAddr,
+    manner: Arc<Mutex<Manner>>,
+    /// The checks that it got, with their time-outs.
+    pub calls: Calls,
+    pub called: Arc<Notify>,
+    /// Calls that were dropped before an answer.
+    pub dropped: Arc<Notify>,
+    connections: Arc<Mutex<Vec<AbortHandle>>>,
+}
+
+struct Dropped(Arc<Notify>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
+impl UnaryService<Bytes> for Authoriser {
+    type Response = Bytes;
+    type Future = Pin<Box<dyn Future<Output = Result<Response<Bytes>, Status>> + Send>>;
+
+    fn call(&mut self, request: tonic::Request<Bytes>) -> Self::Future {
+        let timeout = request.metadata().get("grpc-timeout").map(|v| v.to_str().unwrap().to_owned());
+        self.calls.lock().unwrap().push((request.into_inner(), timeout));
+        self.called.notify_one();
+        let manner = self.manner.lock().unwrap().clone();
+        let (connections, dropped) = (self.connections.clone(), Dropped(self.dropped.clone()));
+        Box::pin(async move {
+            let _dropped = dropped;
+            match manner {
+                Manner::Answer(bytes) => return Ok(Response::new(bytes)),
+                Manner::Fail(code) => return Err(Status::new(code, "as told")),
+                Manner::Stall => {}
+                Manner::VanishOnce(done, bytes) if done.swap(true, Ordering::Relaxed) => {
+                    return Ok(Response::new(bytes));
+                }
+                Manner::Vanish | Manner::VanishOnce(..) => {
+                    connections.lock().unwrap().drain(..).for_each(|c| c.abort())
+                }
+            }
+            std::future::pending().await
+        })
+    }
+}
+
+impl Authoriser {
+    pub async fn start(manner: Manner) -> Self {
+        let listener = listener().await;
+        let this = Self {
+            at: listener.local_addr().unwrap(),
+            manner: Arc::new(Mutex::new(manner)),
+            calls: Calls::default(),
+            called: Arc::default(),
+            dropped: Arc::default(),
+            connections: Arc::default(),
+        };
+        let accepting = this.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let serving = accepting.clone();
+                let service = service_fn(move |request| {
+                    let authoriser = serving.clone();
+                    async move {
+                        Ok::<_, std::convert::Infallible>(Grpc::new(Raw).unary(authoriser, request).await)
+                    }
+                });
+                let builder = http2::Builder::new(TokioExecutor::new());
+                let connection = tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+                accepting.connections.lock().unwrap().push(connection.abort_handle());
+            }
+        });
+        this
+    }
+
+    pub fn behave(&self, manner: Manner) {
+        *self.manner.lock().unwrap() = manner;
+    }
+
+    pub fn count(&self) -> usize {
+        self.calls.lock().unwrap().len()
+    }
+}
+
+/// Consul: the health and the catalogue of one service.
+#[derive(Clone)]
+pub struct Consul {
+    pub at: SocketAddr,
+    state: watch::Sender<(u64, serde_json::Value)>,
+    /// The targets that were asked for.
+    pub asked: Rc<RefCell<Vec<String>>>,
+    /// What the health answer says in place of the truth.
+    pub lie: Rc<RefCell<Option<(u16, String)>>>,
+}
+
+/// An instance as Consul lists it.
+pub fn instance(id: &str, at: SocketAddr, cell: u16, status: &str) -> serde_json::Value {
+    serde_json::json!({
+        "Node": {"Node": "n1", "Address": "127.0.0.1"},
+        "Service": {"ID": id, "Address": at.ip().to_string(), "Port": at.port(),
+            "Meta": {"cell": cell.to_string(), "zone": "north-hall"}, "Weights": {"Passing": 1, "Warning": 1}},
+        "Checks": [{"CheckID": "serfHealth", "Status": "passing"}, {"CheckID": id, "Status": status}],
+    })
+}
+
+impl Consul {
+    pub async fn start(instances: Vec<serde_json::Value>) -> Self {
+        let listener = listener().await;
+        let state = watch::Sender::new((10, instances.into()));
+        let (asked, lie) = Default::default();
+        let this = Self { at: listener.local_addr().unwrap(), state, asked, lie };
+        let accepting = this.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                spawn_local(accepting.clone().answer(stream));
+            }
+        });
+        this
+    }
+
+    /// The instances from now on; the index moves on, or is set.
+    pub fn set(&self, index: Option<u64>, instances: Vec<serde_json::Value>) {
+        self.state.send_modify(|(now, list)| (*now, *list) = (index.unwrap_or(*now + 1), instances.into()));
+    }
+
+    async fn answer(self, mut stream: TcpStream) {
+        let Some(request) = message(&mut stream, &mut BytesMut::new(), Kind::Request).await else { return };
+        let target = String::from_utf8(request.head.request_line().1.to_vec()).unwrap();
+        self.asked.borrow_mut().push(target.clone());
+        let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+        let known =
+            query.split('&').find_map(|pair| pair.strip_prefix("index=")).map(|i| i.parse::<u64>().unwrap());
+        let honest = self.lie.borrow().is_none();
+        if let Some(known) = known.filter(|_| honest) {
+            let mut state = self.state.subscribe();
+            let wait = std::time::Duration::from_millis(500);
+            let _ = tokio::time::timeout(wait, state.wait_for(|(index, _): &(u64, _)| *index != known)).await;
+        }
+        let (index, list) = self.state.borrow().clone();
+        let lie = self.lie.borrow().clone().filter(|_| path.starts_with("/v1/health/service/"));
+        let (status, body) = lie.unwrap_or((200, list.to_string()));
+        let length = body.len();
+        let text = format!(
+            "HTTP/1.1 {status} X\r\nX-Consul-Index: {index}\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        let _ = stream.write_all(text.as_bytes()).await;
+    }
+}
+
+/// The counter; it adds what it is told to, and answers nothing while it is silent.
+#[derive(Clone)]
+pub struct Counter {
+    pub at: SocketAddr,
+    pub numbers: Rc<RefCell<BTreeMap<String, f64>>>,
+    pub calls: Rc<Cell<usize>>,
+}
+
+impl Counter {
+    pub async fn start() -> Self {
+        let listener = listener().await;
+        let (numbers, calls) = Default::default();
+        let this = Self { at: listener.local_addr().unwrap(), numbers, calls };
+        let accepting = this.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                spawn_local(accepting.clone().answer(stream));
+            }
+        });
+        this
+    }
+
+    async fn answer(self, stream: TcpStream) {
+        use tokio::io::{AsyncBufReadExt, BufReader};
+        let mut stream = BufReader::new(stream);
+        let mut line = String::new();
+        while stream.read_line(&mut line).await.is_ok_and(|n| n > 0) {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let answer = match words[..] {
+                ["ping"] => "pong\r\n".to_owned(),
+                ["bump", name, amount, _] => {
+                    let mut numbers = self.numbers.borrow_mut();
+                    let total = numbers.entry(name.to_owned()).or_default();
+                    *total += amount.parse::<f64>().unwrap();
+                    self.calls.set(self.calls.get() + 1);
+                    format!("ok {total}\r\n")
+                }
+                _ => "error\r\n".to_owned(),
+            };
+            stream.get_mut().write_all(answer.as_bytes()).await.unwrap();
+            line.clear();
+        }
+    }
+}
