--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -110,9 +110,8 @@
                     };
                 }
             }
-            while let Some(end) = buffer.iter().position(|b| *b == b'\n') {
-                let line = buffer.split_to(end + 1);
-                let Some(answer) = read_answer(&line) else {
+            while let Some(answer) = take_answer(&mut buffer) {
+                let Some(answer) = answer else {
                     return lost(waiting, tell, "an answer is unreadable".into());
                 };
                 let Some(seq) = waiting.pop_front() else {
@@ -153,13 +152,93 @@
     Err(why)
 }
 
-/// What a line of the counter says; none where it says nothing known.
-fn read_answer(line: &[u8]) -> Option<CounterAnswer> {
-    match std::str::from_utf8(line).ok()?.trim_ascii() {
+/// The next answer in the buffer, if a whole line has come: what it says, or none where that is nothing known.
+pub(super) fn take_answer(buffer: &mut BytesMut) -> Option<Option<CounterAnswer>> {
+    let end = buffer.iter().position(|b| *b == b'\n')?;
+    let line = buffer.split_to(end + 1);
+    Some(match std::str::from_utf8(&line).unwrap_or_default().trim_ascii() {
         "busy" | "error" => Some(CounterAnswer::NotAdded),
         text => {
-            let total: f64 = text.strip_prefix("ok ")?.trim().parse().ok()?;
-            total.is_finite().then_some(CounterAnswer::Total(total))
+            let total = text.strip_prefix("ok ").and_then(|total| total.trim().parse::<f64>().ok());
+            total.filter(|total| total.is_finite()).map(CounterAnswer::Total)
         }
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::deadlines::Clock;
+    use crate::interface::CounterName;
+    use tokio::io::{AsyncBufReadExt, BufReader};
+    use tokio::net::TcpListener;
+
+    fn call(seq: u64) -> Call {
+        Call { seq, name: CounterName(10 + seq), amount: -2.5, keep: 90_000.0 }
+    }
+
+    /// Lets a counter's client make calls to a script of what the counter does on each connection.
+    async fn answers<F: Future<Output = ()>>(
+        calls: u64,
+        script: impl AsyncFnOnce(TcpListener) -> F,
+    ) -> Vec<(u64, CounterAnswer)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let deadlines = Deadlines::new(Clock::new());
+        let log = Logger::root(slog::Discard, slog::o!());
+        let counter = Counter { at: listener.local_addr().unwrap(), deadlines, log };
+        let (made, coming) = mpsc::unbounded_channel();
+        (0..calls).for_each(|seq| made.send(call(seq)).unwrap());
+        let (told, mut tells) = mpsc::unbounded_channel();
+        let all = async {
+            let mut all = Vec::new();
+            while all.len() < calls as usize {
+                all.push(tells.recv().await.unwrap());
+            }
+            all
+        };
+        let client = counter.run(coming, |seq, answer| told.send((seq, answer)).unwrap());
+        let scripted = async { script(listener).await.await };
+        tokio::select! {
+            all = all => all,
+            ((), ()) = async { tokio::join!(client, scripted) } => unreachable!("calls are still to come"),
+        }
+    }
+
+    #[tokio::test]
+    async fn calls_go_out_together_and_answers_are_matched_in_order() {
+        let all = answers(3, async |listener| async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut stream = BufReader::new(stream);
+            let mut text = String::new();
+            for _ in 0..3 {
+                stream.read_line(&mut text).await.unwrap();
+            }
+            assert_eq!(text, "bump 10 -2.5 60000\r\nbump 11 -2.5 60000\r\nbump 12 -2.5 60000\r\n");
+            stream.write_all(b"ok 1.5\r\nbusy\r\nok 7\r\n").await.unwrap();
+            std::future::pending().await
+        });
+        let total = CounterAnswer::Total;
+        assert_eq!(all.await, [(0, total(1.5)), (1, CounterAnswer::NotAdded), (2, total(7.0))]);
+    }
+
+    #[tokio::test]
+    async fn calls_whose_connection_breaks_may_have_been_added() {
+        let all = answers(2, async |listener| async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut stream = BufReader::new(stream);
+            let mut text = String::new();
+            stream.read_line(&mut text).await.unwrap();
+            stream.read_line(&mut text).await.unwrap();
+            stream.write_all(b"ok 1\r\n").await.unwrap();
+            drop(stream);
+            std::future::pending().await
+        });
+        assert_eq!(all.await, [(0, CounterAnswer::Total(1.0)), (1, CounterAnswer::Unknown)]);
+    }
+
+    #[tokio::test]
+    async fn calls_to_a_counter_that_is_not_there_add_nothing() {
+        let all = answers(2, async |listener| async move { drop(listener) }).await;
+        assert_eq!(all, [(0, CounterAnswer::NotAdded), (1, CounterAnswer::NotAdded)]);
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -163,16 +163,16 @@
 
 /// The lines of a watch's chunked answer, however they are cut.
 #[derive(Debug, Default)]
-struct Lines {
+pub(super) struct Lines {
     /// What has come and was not looked at.
-    buffer: BytesMut,
+    pub(super) buffer: BytesMut,
     begun: bool,
     line: BytesMut,
 }
 
 impl Lines {
     /// The next line; none where more must come first.
-    fn next(&mut self) -> Result<Option<BytesMut>, &'static str> {
+    pub(super) fn next(&mut self) -> Result<Option<BytesMut>, &'static str> {
         if !self.begun {
             match http::peek_head(&self.buffer, Kind::Response) {
                 Ok(Some((head, length))) if head.status() == 200 && head.chunked() => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,3 +9,5 @@
 pub mod schedulings;
 pub mod server_side;
 pub mod stream;
+#[cfg(test)]
+mod tests;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -61,3 +61,42 @@
         (bytes.len() <= MESSAGE_BYTES).then(|| (from, bytes.to_vec()))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn only_peers_are_heard_and_only_by_short_datagrams() {
+        let [a, b, stranger] = [(); 3].map(|()| std::net::UdpSocket::bind("127.0.0.1:0").unwrap());
+        let at = |socket: &std::net::UdpSocket| socket.local_addr().unwrap();
+        let addresses = vec![at(&a), at(&b)];
+        let log = Logger::root(slog::Discard, slog::o!());
+        let socket = |socket: std::net::UdpSocket| {
+            socket.set_nonblocking(true).unwrap();
+            UdpSocket::from_std(socket).unwrap()
+        };
+        let to = addresses[0];
+        stranger.send_to(b"odd", to).unwrap();
+        b.send_to(&[7; MESSAGE_BYTES + 1], to).unwrap();
+        b.send_to(&[8; MESSAGE_BYTES], to).unwrap();
+        let (a, b) = (socket(a), socket(b));
+        let (mail, sent) = mpsc::unbounded_channel();
+        mail.send((GatewayId(1), vec![9; MESSAGE_BYTES + 1])).unwrap();
+        mail.send((GatewayId(5), vec![9])).unwrap();
+        mail.send((GatewayId(1), vec![1, 2])).unwrap();
+        let (heard, mut hears) = mpsc::unbounded_channel();
+        let peers = Peers { socket: a, addresses, log };
+        let running = tokio::spawn(peers.run(sent, move |from, bytes| drop(heard.send((from, bytes)))));
+        assert_eq!(hears.recv().await.unwrap(), (GatewayId(1), vec![8; MESSAGE_BYTES]));
+        let mut buffer = [0; 2 * MESSAGE_BYTES];
+        assert_eq!(
+            b.recv(&mut buffer).await.unwrap(),
+            2,
+            "too long a message is not sent, nor one to nobody"
+        );
+        drop(mail);
+        running.await.unwrap();
+        assert!(hears.recv().await.is_none());
+    }
+}
--- /dev/null
+++ b/src/net/tests.rs
@@ -0,0 +1,193 @@
+//! The parsers against random cuts of valid messages and random garbage, from fixed seeds.
+
+use super::counter::take_answer;
+use super::discovery::Lines;
+use super::http::{BODY, Bad, Kind, Message, take_message};
+use crate::config::{Pairs, Site};
+use crate::fronts::platform;
+use crate::interface::CounterAnswer;
+use crate::net::server_side::Asked;
+use bytes::BytesMut;
+use quickcheck::{Gen, QuickCheck};
+
+/// Holds for any garbage and any cuts.
+fn check(holds: fn(Vec<u8>, Vec<u16>) -> bool) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(200, 11)).tests(400).quickcheck(holds);
+}
+
+/// Feeds `bytes` in pieces cut at these places and collects what `parse` gives; it says when it wants more.
+fn in_pieces<T>(bytes: &[u8], cuts: &[u16], mut parse: impl FnMut(&[u8]) -> Vec<T>) -> Vec<T> {
+    let mut places: Vec<usize> = cuts.iter().map(|cut| usize::from(*cut) % (bytes.len() + 1)).collect();
+    places.extend([0, bytes.len()]);
+    places.sort_unstable();
+    places.windows(2).flat_map(|pair| parse(&bytes[pair[0]..pair[1]])).collect()
+}
+
+/// What is in the pieces: bodies and first lines, or what is wrong, which ends it.
+fn messages(bytes: &[u8], cuts: &[u16], kind: Kind) -> Vec<Result<(String, Vec<u8>), Bad>> {
+    let (mut buffer, mut broken) = (BytesMut::new(), false);
+    let text = |message: &Message| {
+        let (method, target) = message.head.request_line();
+        format!("{:?} {:?} {} {}", method, target, message.head.status(), message.head.close)
+    };
+    in_pieces(bytes, cuts, |piece| {
+        buffer.extend_from_slice(piece);
+        let mut found = Vec::new();
+        while !broken {
+            match take_message(&mut buffer, kind, false) {
+                Ok(Some(message)) => found.push(Ok((text(&message), message.body.to_vec()))),
+                Ok(None) => break,
+                Err(bad) => {
+                    found.push(Err(bad));
+                    broken = true;
+                }
+            }
+        }
+        found
+    })
+}
+
+const REQUESTS: &[u8] = b"POST /move-submit/a?client=00000000b4d65521 HTTP/1.1\r\nHost: x\r\n\
+    Request-Id: 9b1f03aa5c7e2d41\r\nX-Tier: club\r\nRequest-Timeout-Ms: 480\r\nIdempotency-Key: 5c0f\r\n\
+    Content-Length: 5\r\nX-Call-Terms: units=2,spread=3,first=1\r\n\r\nhello\
+    GET /board-state?client=0000000000000007 HTTP/1.1\r\nRequest-Id: b\r\nX-Tier: club\r\n\
+    Request-Timeout-Ms: 1\r\nX-Call-Terms: first=0,units=1,spread=1\r\n\r\n\
+    POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA;ext=1\r\n0123456789\r\n0\r\nT: 1\r\n\r\n";
+const RESPONSES: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nServer-Load: inflight=1\r\n\r\nabc\
+    HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 503 X\r\nNot-Started: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n\
+    HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn messages_are_the_same_however_they_are_cut() {
+    for (bytes, kind, count) in [(REQUESTS, Kind::Request, 3), (RESPONSES, Kind::Response, 4)] {
+        let whole = messages(bytes, &[], kind);
+        assert!(whole.len() == count && whole.iter().all(Result::is_ok), "{whole:?}");
+    }
+    check(|_, cuts| messages(REQUESTS, &cuts, Kind::Request) == messages(REQUESTS, &[], Kind::Request));
+    check(|_, cuts| messages(RESPONSES, &cuts, Kind::Response) == messages(RESPONSES, &[], Kind::Response));
+    let bodies: Vec<_> = messages(REQUESTS, &[], Kind::Request).into_iter().map(|m| m.unwrap().1).collect();
+    assert_eq!(bodies, [&b"hello"[..], b"", b"abc0123456789"]);
+}
+
+#[test]
+fn garbage_and_damaged_messages_are_turned_away_without_a_panic() {
+    fn parse(bytes: &[u8], cuts: &[u16]) -> bool {
+        let all = [Kind::Request, Kind::Response, Kind::ListResponse].map(|kind| messages(bytes, cuts, kind));
+        all.iter().flatten().flatten().all(|(_, body)| body.len() <= bytes.len())
+    }
+    check(|garbage, cuts| parse(&garbage, &cuts));
+    check(|garbage, cuts| {
+        let mut damaged = [REQUESTS, RESPONSES].concat();
+        for (byte, at) in garbage.iter().zip(&cuts).take(3) {
+            let at = usize::from(*at) % damaged.len();
+            damaged[at] = *byte;
+        }
+        parse(&damaged, &cuts)
+    });
+    let bad = |text: &str| messages(text.as_bytes(), &[], Kind::Request).pop();
+    // Two readers must not cut a message in different places.
+    let cases = [
+        "POST /x HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "POST /x HTTP/1.1\r\nContent-Length: +1\r\n\r\n",
+        "POST /x HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcde",
+    ];
+    assert!(cases.iter().all(|text| bad(text) == Some(Err(Bad::Malformed))), "{:?}", cases.map(bad));
+    let large = format!("POST /x HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BODY + 1);
+    assert_eq!(bad(&large), Some(Err(Bad::BodyTooLarge)));
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    let chunks = format!("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk.repeat(3));
+    assert_eq!(bad(&chunks), Some(Err(Bad::BodyTooLarge)));
+    assert_eq!(bad(&format!("GET /{} HTTP/1.1\r\n", "x".repeat(9000))), Some(Err(Bad::HeadTooLarge)));
+}
+
+#[test]
+fn a_watch_has_the_same_lines_however_it_is_cut() {
+    const WATCH: &[u8] =
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{\"a\"\r\n6\r\n:1}\n\n{\r\n2\r\n}\n\r\n";
+    fn lines(bytes: &[u8], cuts: &[u16]) -> Vec<Result<Vec<u8>, &'static str>> {
+        let mut lines = Lines::default();
+        in_pieces(bytes, cuts, |piece| {
+            lines.buffer.extend_from_slice(piece);
+            let next = || lines.next().map(|line| line.map(|line| line.to_vec())).transpose();
+            // An error stays one: it is told once a piece.
+            let mut failed = false;
+            std::iter::from_fn(next)
+                .take_while(|line| !std::mem::replace(&mut failed, line.is_err()))
+                .collect()
+        })
+    }
+    let whole: Vec<_> = lines(WATCH, &[]).into_iter().map(Result::unwrap).collect();
+    assert_eq!(whole, [&b"{\"a\":1}\n"[..], b"\n", b"{}\n"]);
+    check(|_, cuts| lines(WATCH, &cuts) == lines(WATCH, &[]));
+    check(|garbage, cuts| {
+        let damaged = [&WATCH[..47], &garbage].concat();
+        lines(&damaged, &cuts).iter().flatten().all(|line| line.len() <= garbage.len())
+    });
+}
+
+#[test]
+fn the_counters_answers_are_the_same_however_they_are_cut() {
+    fn answers(bytes: &[u8], cuts: &[u16]) -> Vec<Option<CounterAnswer>> {
+        let mut buffer = BytesMut::new();
+        in_pieces(bytes, cuts, |piece| {
+            buffer.extend_from_slice(piece);
+            std::iter::from_fn(|| take_answer(&mut buffer)).collect()
+        })
+    }
+    const ANSWERS: &[u8] = b"ok 12.5\r\nbusy\r\nok -3\r\nerror\r\nok many\r\nok inf\r\n";
+    let total = |n| Some(CounterAnswer::Total(n));
+    let not = Some(CounterAnswer::NotAdded);
+    assert_eq!(answers(ANSWERS, &[]), [total(12.5), not, total(-3.0), not, None, None]);
+    check(|_, cuts| answers(ANSWERS, &cuts) == answers(ANSWERS, &[]));
+    check(|garbage, cuts| answers(&garbage, &cuts).len() <= garbage.len());
+}
+
+#[test]
+fn only_a_sound_request_is_a_flow() {
+    let site = Site::read(&Pairs::from_text(
+        "balancers=3\nmyNumber=0\nlimits.maxAttempts=5\nclasses.count=2\nclasses.0.aim=500.0\n\
+         classes.0.name=board-state\nclasses.0.effect=read_like\nclasses.1.aim=800.0\nclasses.1.name=move-submit\n\
+         classes.1.effect=idempotency_key\nclasses.1.group=cell\nclasses.1.window=4000.0\ntariffs.count=1\n\
+         tariffs.0.name=club\ntariffs.0.perSecond=1\ntariffs.0.storeSize=2\ntariffs.0.atOnce=0\n\
+         tariffs.0.ceilingRate=0\ntariffs.0.neverOverDepth=0\nrules.cold=1\nrules.coldFrom=1\nrules.fallMultiple=2\n\
+         rules.overloadFor=1\nfamilyInfo.largest=6",
+    ));
+    let site = site.unwrap();
+    let read = |text: &[u8]| {
+        let message = take_message(&mut BytesMut::from(text), Kind::Request, false).unwrap().unwrap();
+        platform::read(&message, &site)
+    };
+    let sound = String::from_utf8(REQUESTS.to_vec()).unwrap();
+    let Asked::Flow(terms, question) = read(sound.as_bytes()) else { panic!("the first is a flow") };
+    assert_eq!((terms.units, terms.spread, terms.first.0, terms.left), (2.0, 3, 1, 480.0));
+    assert_eq!((terms.class.0, terms.plan.0, terms.customer.0), (1, 0, 0xb4d6_5521));
+    let head = String::from_utf8(question.head.to_vec()).unwrap();
+    let passed = "POST /move-submit/a?client=00000000b4d65521 HTTP/1.1\r\nRequest-Id: 9b1f03aa5c7e2d41\r\n\
+        Idempotency-Key: 5c0f\r\nContent-Length: 5\r\n";
+    assert_eq!((head.as_str(), &question.body[..]), (passed, &b"hello"[..]));
+    let wrong = [
+        ("POST", "GET", 405),
+        ("/move-submit/a", "/checkout", 404),
+        ("client=00000000b4d65521", "client=b4d65521", 400),
+        ("client=00000000b4d65521", "client=00000002b4d65521", 400),
+        ("client=00000000b4d65521", "client=00000000b4d65521&client=0000000000000001", 400),
+        ("Request-Id: 9b1f03aa5c7e2d41", "Request-Id: 9b 1f", 400),
+        ("Request-Id: 9b1f03aa5c7e2d41", "Request-Id: a\r\nRequest-Id: b", 400),
+        ("X-Tier: club", "X-Tier: gold", 400),
+        ("Timeout-Ms: 480", "Timeout-Ms: 4e2", 400),
+        ("Timeout-Ms: 480", "Timeout-Ms: 0", 400),
+        ("Idempotency-Key: 5c0f\r\n", "", 400),
+        ("units=2", "units=7", 400),
+        ("units=2", "units=NaN", 400),
+        ("units=2,", "", 400),
+        ("spread=3", "spread=4", 400),
+        ("first=1", "first=3", 400),
+    ];
+    for (old, new, status) in wrong {
+        let asked = read(sound.replacen(old, new, 1).as_bytes());
+        assert!(matches!(asked, Asked::Wrong(s, _) if s == status), "{new}: {asked:?}");
+    }
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,422 @@
+//! An ingress of the platform, from a client's request to a real server and back, against stand-ins.
+
+mod stand_ins;
+
+use bytes::BytesMut;
+use serde_json::{Value, json};
+use stand_ins::*;
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, spawn_local};
+use weldhub::config::Config;
+use weldhub::net::http::{Kind, Message};
+use weldhub::node;
+
+/// What an ingress is told, with `known` as its list and a plan of 27 units at once that never fill again.
+fn told(agent: SocketAddr, known: Vec<Value>) -> Value {
+    let class = |name: &str, give_up: f64, effect: &str| json!({"name": name, "aim": 600.0, "giveUp": give_up, "effect": effect, "group": "cell", "window": 6000.0});
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": agent.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"generation": 41, "reset": true, "instances": known},
+        "settings": {
+            "balancers": 1, "myNumber": 0, "zone": 0, "zones": ["a"], "flavors": ["m"], "unknownKey": [1],
+            "membershipMode": "pushed", "feedback": {"names": ["rif", "q"], "via": "piggyback"},
+            "limits": {"maxAttempts": 3, "cancelling": true, "retryAfter": false, "maxRetryAfter": 1000.0,
+                "connectTimeout": 250.0, "connIdle": 30000.0},
+            "familyInfo": {"largest": 6, "counterTimeout": 50.0},
+            "rules": {"coldFrom": 0.25, "cold": 18000.0, "fallMultiple": 2.0, "overloadFor": 3000.0},
+            "classes": [class("board-state", 1500.0, "read_like"), class("move-submit", 3000.0, "idempotency_key")],
+            "tariffs": [{"name": "club", "perSecond": 0.001, "storeSize": 27.0, "atOnce": 0,
+                "ceilingRate": 0.0, "neverOverDepth": 0.0}],
+        },
+    })
+}
+
+struct Ingress {
+    at: SocketAddr,
+    stop: oneshot::Sender<()>,
+    running: JoinHandle<std::io::Result<()>>,
+}
+
+async fn start(told: &Value) -> Ingress {
+    let config = Config::read(&told.to_string(), |_| None).unwrap();
+    let listener = listener().await;
+    let at = listener.local_addr().unwrap();
+    let (stop, stopped) = oneshot::channel();
+    let stopped = async move { drop(stopped.await) };
+    let running = spawn_local(node::serve(config, listener, quiet(), stopped));
+    while status(&get(at, "/ready").await) != 200 {}
+    Ingress { at, stop, running }
+}
+
+/// An ingress with one real server.
+async fn one(manner: Serve) -> (RealServer, Ingress, Agent) {
+    let (server, agent) = (RealServer::start(manner).await, Agent::start().await);
+    let ingress = start(&told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")])).await;
+    (server, ingress, agent)
+}
+
+/// A client's connection.
+struct Client(TcpStream, BytesMut);
+
+impl Client {
+    async fn new(at: SocketAddr) -> Self {
+        Self(TcpStream::connect(at).await.unwrap(), BytesMut::new())
+    }
+
+    async fn send(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    async fn answer(&mut self) -> Option<Message> {
+        message(&mut self.0, &mut self.1, Kind::Response).await
+    }
+
+    async fn ask(&mut self, text: &str) -> Message {
+        self.send(text).await;
+        self.answer().await.unwrap()
+    }
+}
+
+async fn ask(at: SocketAddr, text: &str) -> Message {
+    Client::new(at).await.ask(text).await
+}
+
+async fn get(at: SocketAddr, path: &str) -> Message {
+    ask(at, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")).await
+}
+
+fn status(message: &Message) -> u16 {
+    message.head.status()
+}
+
+fn header(message: &Message, name: &str) -> Option<String> {
+    message.head.get(name).map(|value| String::from_utf8(value.to_vec()).unwrap())
+}
+
+fn common(id: &str, timeout: u32, units: u32) -> String {
+    format!(
+        "Host: x\r\nRequest-Id: {id}\r\nX-Tier: club\r\nRequest-Timeout-Ms: {timeout}\r\n\
+         X-Call-Terms: units={units},spread=1,first=0\r\n"
+    )
+}
+
+fn board(id: &str, timeout: u32, units: u32) -> String {
+    format!(
+        "GET /board-state/17?client=0000000000000007&x=%20y HTTP/1.1\r\n{}\r\n",
+        common(id, timeout, units)
+    )
+}
+
+fn submit(id: &str, timeout: u32) -> String {
+    let common = common(id, timeout, 1);
+    format!(
+        "POST /move-submit/17?client=0000000000000007 HTTP/1.1\r\n{common}Idempotency-Key: 5c0f6e\r\n\
+         Content-Length: 4\r\n\r\ne2e4"
+    )
+}
+
+#[test]
+fn a_flow_and_its_answer_pass_unchanged() {
+    local(async {
+        let answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: a/b\r\n\r\n3\r\n\x00\xffz\r\n0\r\n\r\n";
+        let (server, ingress, _agent) = one(Serve::Bytes(answer.to_vec())).await;
+        let mut client = Client::new(ingress.at).await;
+        for text in [board("9b1f03aa5c7e2d41", 900, 1), submit("9b1f03aa5c7e2d42", 900)] {
+            let message = client.ask(&text).await;
+            assert_eq!((status(&message), &message.body[..]), (200, &b"\x00\xffz"[..]));
+            assert_eq!(header(&message, "content-type").as_deref(), Some("a/b"));
+        }
+        let got = server.got.borrow();
+        let (first, second) = (&got[0].1, &got[1].1);
+        let target = &b"/board-state/17?client=0000000000000007&x=%20y"[..];
+        assert_eq!(first.head.request_line(), (&b"GET"[..], target));
+        assert_eq!(header(first, "request-id").as_deref(), Some("9b1f03aa5c7e2d41"));
+        let wait: u32 = header(first, "request-timeout-ms").unwrap().parse().unwrap();
+        assert!(wait > 0 && wait < 900, "{wait}");
+        assert_eq!(second.head.request_line().0, b"POST");
+        assert_eq!(header(second, "idempotency-key").as_deref(), Some("5c0f6e"));
+        assert_eq!(&second.body[..], b"e2e4");
+        assert_eq!((got[0].0, got[1].0), (0, 0), "one connection is used again");
+    });
+}
+
+#[test]
+fn a_flow_beyond_the_quota_is_turned_down_and_told_when_to_come_back() {
+    local(async {
+        let (server, ingress, _agent) = one(ok("x")).await;
+        let mut client = Client::new(ingress.at).await;
+        for i in 0..4 {
+            assert_eq!(status(&client.ask(&board(&format!("a{i}"), 900, 6)).await), 200);
+        }
+        // The settings say that the simulator's clients get no advice; real ones do.
+        let message = client.ask(&board("b", 900, 6)).await;
+        assert_eq!(status(&message), 429);
+        let after: f64 = header(&message, "retry-after").unwrap().parse().unwrap();
+        assert!(after > 0.0 && after <= 1.0, "{after}");
+        assert_eq!(status(&client.ask(&board("c", 900, 3)).await), 200);
+        assert_eq!(server.count(), 5);
+    });
+}
+
+#[test]
+fn a_silent_real_server_costs_a_504_before_the_deadline_and_its_connection_is_closed() {
+    local(async {
+        let (server, ingress, _agent) = one(Serve::Stall).await;
+        // A client closes at its deadline: it must have read the answer by then.
+        let deadline = std::time::Duration::from_millis(600);
+        let asked = tokio::time::timeout(deadline, ask(ingress.at, &submit("a", 600))).await;
+        assert_eq!(status(&asked.unwrap()), 504);
+        until(|| server.connections.get() == [1, 1]).await;
+        assert_eq!(server.count(), 1);
+    });
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_scheduling_with_it() {
+    local(async {
+        let (server, ingress, _agent) = one(Serve::Stall).await;
+        let mut client = Client::new(ingress.at).await;
+        client.send(&board("a", 1400, 1)).await;
+        until(|| server.count() == 1).await;
+        drop(client);
+        until(|| server.connections.get() == [1, 1]).await;
+    });
+}
+
+#[test]
+fn what_breaks_after_its_last_byte_may_have_run_and_is_not_sent_again_by_the_network_code() {
+    local(async {
+        let (server, agent) = (RealServer::start(ok("x")).await, Agent::start().await);
+        let mut told = told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")]);
+        told["settings"]["limits"]["maxAttempts"] = json!(1);
+        let ingress = start(&told).await;
+        assert_eq!(status(&ask(ingress.at, &submit("a", 900)).await), 200);
+        // The connection is used again and breaks: one scheduling, one request, no library's second try.
+        for (i, last) in [&b""[..], b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"].into_iter().enumerate()
+        {
+            server.behave(Serve::Last(last.to_vec()));
+            assert_eq!(status(&ask(ingress.at, &submit(&format!("b{i}"), 900)).await), 502);
+            assert_eq!(server.count(), 2 + i);
+        }
+        assert_eq!(server.got.borrow()[1].0, 0);
+    });
+}
+
+#[test]
+fn garbage_and_errors_of_a_real_server_are_failures() {
+    local(async {
+        let (server, ingress, _agent) = one(ok("x")).await;
+        let large = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70000));
+        let bad = [
+            "\x00garbage\r\n\r\n",
+            "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+            &large,
+        ];
+        for (i, text) in bad.into_iter().enumerate() {
+            server.behave(Serve::Last(text.as_bytes().to_vec()));
+            assert_eq!(status(&ask(ingress.at, &submit(&format!("a{i}"), 900)).await), 502, "{i}");
+        }
+        // Turned away unseen it never ran: that may be said, and be tried elsewhere.
+        server
+            .behave(Serve::Bytes(b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n".to_vec()));
+        let message = ask(ingress.at, &submit("b", 900)).await;
+        assert_eq!(status(&message), 429);
+        assert!(header(&message, "retry-after").is_some());
+    });
+}
+
+#[test]
+fn bad_requests_never_reach_a_real_server() {
+    local(async {
+        let (server, ingress, _agent) = one(ok("x")).await;
+        let huge = submit("a", 900).replace("Content-Length: 4", "Content-Length: 70000");
+        let cases = [
+            ("\x00\x01\r\n\r\n".to_owned(), 400),
+            (board("a", 900, 1).replace("X-Tier: club", "X-Tier: gold"), 400),
+            (board("a", 900, 1).replace("/board-state", "/checkout"), 404),
+            (board("a", 900, 1).replace("GET", "POST"), 405),
+            (board("a", 900, 9), 400),
+            (huge, 413),
+            (board("a", 900, 1).replace("Host: x", &format!("Host: {}", "x".repeat(9000))), 431),
+        ];
+        for (text, expected) in cases {
+            assert_eq!(status(&ask(ingress.at, &text).await), expected, "{}", &text[..40.min(text.len())]);
+        }
+        assert_eq!(server.count(), 0);
+        assert_eq!(status(&ask(ingress.at, &board("b", 900, 1)).await), 200);
+    });
+}
+
+#[test]
+fn a_full_table_turns_flows_away() {
+    local(async {
+        let (server, agent) = (RealServer::start(ok("x")).await, Agent::start().await);
+        let mut told = told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")]);
+        told["limits"]["sockets"] = json!(64);
+        let ingress = start(&told).await;
+        // More than there is room for, each in the middle of a request.
+        let (whole, mut clients) = (submit("a", 2500), Vec::new());
+        for _ in 0..40 {
+            let mut client = Client::new(ingress.at).await;
+            client.send(&whole[..50]).await;
+            clients.push(client);
+        }
+        let turned_away = ask(ingress.at, &board("b", 900, 1)).await;
+        assert_eq!((status(&turned_away), turned_away.head.close), (503, true));
+        assert!(header(&turned_away, "retry-after").is_some());
+        assert_eq!(server.count(), 0);
+        clients[0].send(&whole[50..]).await;
+        assert_eq!(status(&clients[0].answer().await.unwrap()), 200);
+    });
+}
+
+#[test]
+fn idle_connections_make_room_for_new_ones() {
+    local(async {
+        let (server, agent) = (RealServer::start(ok("x")).await, Agent::start().await);
+        let mut told = told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")]);
+        told["limits"]["sockets"] = json!(64);
+        let ingress = start(&told).await;
+        let mut clients = Vec::new();
+        for i in 0..60 {
+            let mut client = Client::new(ingress.at).await;
+            let text = if i % 4 == 0 {
+                board(&format!("{i}"), 900, 1)
+            } else {
+                "GET /ready HTTP/1.1\r\n\r\n".into()
+            };
+            assert_eq!(status(&client.ask(&text).await), 200, "{i}");
+            clients.push(client);
+        }
+        assert!(clients[0].answer().await.is_none(), "the oldest has been closed");
+    });
+}
+
+#[test]
+fn told_to_stop_it_serves_what_comes_then_closes_and_ends_with_all_answered() {
+    local(async {
+        let (server, ingress, _agent) = one(Serve::Stall).await;
+        let mut early = Client::new(ingress.at).await;
+        early.send(&submit("a", 1200)).await;
+        until(|| server.count() == 1).await;
+        let mut idle = Client::new(ingress.at).await;
+        assert_eq!(status(&idle.ask("GET /ready HTTP/1.1\r\n\r\n").await), 200);
+        server.behave(ok("x"));
+        ingress.stop.send(()).unwrap();
+        // New connections and flows are still served, but it is not ready for more.
+        until_not_ready(ingress.at).await;
+        assert_eq!(status(&ask(ingress.at, &board("b", 900, 1)).await), 200);
+        assert!(idle.answer().await.is_none(), "an idle connection is closed");
+        let last = early.answer().await.unwrap();
+        assert_eq!((status(&last), last.head.close), (504, true));
+        ingress.running.await.unwrap().unwrap();
+        assert!(TcpStream::connect(ingress.at).await.is_err());
+    });
+}
+
+async fn until_not_ready(at: SocketAddr) {
+    while status(&get(at, "/ready").await) != 503 {}
+}
+
+#[test]
+fn it_serves_from_the_known_list_while_discovery_is_silent_and_follows_it_then() {
+    local(async {
+        let (old, new) = (RealServer::start(ok("old")).await, RealServer::start(ok("new")).await);
+        let agent = Agent::start().await;
+        let ingress = start(&told(agent.at, vec![service_entry("s1", old.at, 0, "in_service")])).await;
+        let served = async |id: &str| ask(ingress.at, &board(id, 900, 1)).await;
+        assert_eq!(&served("a").await.body[..], b"old");
+        assert_eq!(agent.asked.borrow()[0], "/v1/endpoints?stream=1&index=41");
+        // Drained: nothing new goes there, and an entry that cannot be read takes nothing away.
+        agent.say(42, false, vec![service_entry("s1", old.at, 0, "terminating")]);
+        while status(&served("b").await) == 200 {}
+        // Its idle connections are closed.
+        until(|| old.connections.get() == [1, 1]).await;
+        let count = old.count();
+        agent.say(
+            43,
+            false,
+            vec![service_entry("s2", new.at, 1, "in_service"), service_entry("s1", old.at, 0, "terminated")],
+        );
+        let mut i = 0;
+        // A newcomer is spared as cold: it gets little at first.
+        while status(&served(&format!("c{i}")).await) != 200 {
+            i += 1;
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        assert!(new.count() > 0);
+        assert_eq!(old.count(), count);
+    });
+}
+
+#[test]
+fn a_watch_that_ends_or_tells_nonsense_is_opened_anew_and_the_list_stays() {
+    local(async {
+        let (_server, ingress, agent) = one(ok("x")).await;
+        let watches = |n: usize| {
+            let asked = agent.asked.clone();
+            until(move || asked.borrow().len() >= n)
+        };
+        watches(1).await;
+        agent.say_line(String::new());
+        watches(2).await;
+        assert!(agent.asked.borrow()[1].ends_with("&index=41"), "it goes on from what it has");
+        // Changes before those it has: it asks for the whole list.
+        agent.say(7, false, vec![]);
+        watches(3).await;
+        assert_eq!(agent.asked.borrow()[2], "/v1/endpoints?stream=1");
+        assert_eq!(status(&ask(ingress.at, &board("a", 900, 1)).await), 200);
+        agent.say(50, true, vec![]);
+        while status(&ask(ingress.at, &board("b", 900, 1)).await) == 200 {}
+        agent.say_line("{\"generation\":51}".into());
+        watches(4).await;
+    });
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_real_server_may_close_it() {
+    local(async {
+        let (server, agent) = (RealServer::start(ok("x")).await, Agent::start().await);
+        let mut told = told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")]);
+        told["settings"]["limits"]["connIdle"] = json!(50.0);
+        let ingress = start(&told).await;
+        assert_eq!(status(&ask(ingress.at, &board("a", 900, 1)).await), 200);
+        until(|| server.connections.get() == [1, 1]).await;
+        assert_eq!(status(&ask(ingress.at, &board("b", 900, 1)).await), 200);
+        assert_eq!(server.got.borrow()[1].0, 1);
+    });
+}
+
+#[test]
+fn a_faulty_key_is_named_before_anything_listens() {
+    let at = "127.0.0.1:1".parse().unwrap();
+    let error = |edit: fn(&mut Value)| {
+        let mut told = told(at, vec![service_entry("s1", at, 0, "in_service")]);
+        edit(&mut told);
+        Config::read(&told.to_string(), |_| None).unwrap_err().to_string()
+    };
+    type Edit = fn(&mut Value);
+    let cases: [(Edit, &str); 8] = [
+        (|c| c["listen"] = json!("here"), "listen"),
+        (|c| c["seed"] = json!("xyz"), "seed"),
+        (|c| c["limits"]["sockets"] = json!(3), "limits.sockets"),
+        (|c| c["settings"]["classes"][1]["effect"] = json!("odd"), "classes.1.effect"),
+        (|c| c["settings"]["tariffs"][0]["perSecond"] = json!("fast"), "tariffs.0.perSecond"),
+        (|c| c["settings"]["limits"]["connIdle"] = json!(0), "limits.connIdle"),
+        (|c| c["known"]["instances"][0]["lifecycle"] = json!("odd"), "known: instances.0.lifecycle"),
+        (|c| c["settings"]["limits"]["mayTell"] = json!(true), "peers"),
+    ];
+    for (edit, key) in cases {
+        let text = error(edit);
+        assert!(text.contains(key), "{text}");
+    }
+    // What the environment says goes before the file.
+    let told = told(at, vec![]).to_string();
+    let config = Config::read(&told, |name| (name == "RELAY_NAME").then(|| "n7".to_owned())).unwrap();
+    assert_eq!(config.instance.name, "n7");
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -270,3 +270,139 @@
         }
     }
 }
+
+/// How a real server behaves on a request.
+#[derive(Debug, Clone)]
+pub enum Serve {
+    /// These bytes, and the connection goes on.
+    Bytes(Vec<u8>),
+    /// These bytes, then the end of the connection.
+    Last(Vec<u8>),
+    /// Nothing.
+    Stall,
+}
+
+pub fn ok(body: &str) -> Serve {
+    Serve::Bytes(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes())
+}
+
+/// A real server.
+#[derive(Clone)]
+pub struct RealServer {
+    pub at: SocketAddr,
+    manner: Rc<RefCell<Serve>>,
+    /// The requests that came whole, each with the number of its connection.
+    pub got: Rc<RefCell<Vec<(usize, Message)>>>,
+    /// Connections opened, and those that the other side has closed.
+    pub connections: Rc<Cell<[usize; 2]>>,
+}
+
+impl RealServer {
+    pub async fn start(manner: Serve) -> Self {
+        let listener = listener().await;
+        let (got, connections) = Default::default();
+        let manner = Rc::new(RefCell::new(manner));
+        let this = Self { at: listener.local_addr().unwrap(), manner, got, connections };
+        let accepting = this.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                spawn_local(accepting.clone().serve(stream));
+            }
+        });
+        this
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let [number, closed] = self.connections.get();
+        self.connections.set([number + 1, closed]);
+        let mut buffer = BytesMut::new();
+        while let Some(message) = message(&mut stream, &mut buffer, Kind::Request).await {
+            self.got.borrow_mut().push((number, message));
+            let manner = self.manner.borrow().clone();
+            match manner {
+                Serve::Bytes(bytes) => stream.write_all(&bytes).await.unwrap(),
+                Serve::Last(bytes) => {
+                    stream.write_all(&bytes).await.unwrap();
+                    return;
+                }
+                Serve::Stall => {}
+            }
+        }
+        let [opened, closed] = self.connections.get();
+        self.connections.set([opened, closed + 1]);
+    }
+
+    pub fn behave(&self, manner: Serve) {
+        *self.manner.borrow_mut() = manner;
+    }
+
+    pub fn count(&self) -> usize {
+        self.got.borrow().len()
+    }
+}
+
+/// A service entry in discovery's form.
+pub fn service_entry(name: &str, at: SocketAddr, cell: u16, lifecycle: &str) -> serde_json::Value {
+    serde_json::json!({"instanceId": name, "hostPort": at.to_string(), "zone": "a", "machineType": "m",
+        "cell": cell, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
+}
+
+/// Discovery's agent: writes the lines it is given to every watch, and remembers what was asked.
+#[derive(Clone)]
+pub struct Agent {
+    pub at: SocketAddr,
+    lines: watch::Sender<Vec<String>>,
+    pub asked: Rc<RefCell<Vec<String>>>,
+}
+
+impl Agent {
+    pub async fn start() -> Self {
+        let listener = listener().await;
+        let this = Self {
+            at: listener.local_addr().unwrap(),
+            lines: watch::Sender::default(),
+            asked: Rc::default(),
+        };
+        let accepting = this.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                spawn_local(accepting.clone().tell(stream));
+            }
+        });
+        this
+    }
+
+    /// Tells every watch a list; what is told before a watch begins is not repeated to it.
+    pub fn say(&self, generation: u64, reset: bool, entries: Vec<serde_json::Value>) {
+        let list = serde_json::json!({"generation": generation, "reset": reset, "instances": entries});
+        self.say_line(list.to_string());
+    }
+
+    pub fn say_line(&self, line: String) {
+        self.lines.send_modify(|lines| lines.push(line));
+    }
+
+    async fn tell(self, mut stream: TcpStream) {
+        let Some(request) = message(&mut stream, &mut BytesMut::new(), Kind::Request).await else { return };
+        let mut lines = self.lines.subscribe();
+        let mut told = lines.borrow_and_update().len();
+        self.asked.borrow_mut().push(String::from_utf8(request.head.request_line().1.to_vec()).unwrap());
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        while lines.changed().await.is_ok() {
+            let new = lines.borrow_and_update()[told..].to_vec();
+            told += new.len();
+            for line in new {
+                // An empty line says that the watch ends.
+                let text = match line.as_str() {
+                    "" => "0\r\n\r\n".to_owned(),
+                    line => format!("{:x}\r\n{line}\n\r\n", line.len() + 1),
+                };
+                if stream.write_all(text.as_bytes()).await.is_err() || line.is_empty() {
+                    return;
+                }
+            }
+        }
+    }
+}
