End when a part of an instance ends; ping authorisers so that silent connections die

Seen by reading: a panic in the client side or discovery would have left an engine that answers nothing in time, since only the engine was watched (node.rs, Core::serve); all parts are in one set now. An HTTP/2 connection to an authoriser whose machine went silent stayed in use for ever, as a timed-out check resets its stream only (authorisers.rs, open); the test with a cut cable never ended without the pings. SIGTERM on the second front has a test as well.

--- a/src/fronts/ext_authz/authorisers.rs
+++ b/src/fronts/ext_authz/authorisers.rs
@@ -14,7 +14,7 @@
 use http::uri::PathAndQuery;
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
-use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use prost::Message;
 use slog::{Logger, debug};
 use std::cell::Cell;
@@ -24,6 +24,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
 use tokio::task::spawn_local;
 use tonic::body::Body;
@@ -34,6 +35,9 @@
 /// Checks at once on a connection: fewer than HTTP/2 servers usually bear, so that none waits in its queue.
 const STREAMS: usize = 96;
 
+/// A connection with checks out is asked for a sign of life so often, and closed when none comes for so long.
+const PING: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(1));
+
 /// The connection to an authoriser, opened when first needed.
 #[derive(Debug, Default, Clone)]
 struct Link {
@@ -138,7 +142,10 @@
 /// Opens a connection.
 pub async fn open(at: SocketAddr) -> Result<SendRequest<Body>, Box<dyn Error>> {
     let stream = TokioIo::new(connect(at).await?);
-    let (sender, connection) = http2::Builder::new(TokioExecutor::new()).handshake(stream).await?;
+    // Prevents a connection to a machine that went silent from being used for ever.
+    let mut builder = http2::Builder::new(TokioExecutor::new());
+    builder.timer(TokioTimer::new()).keep_alive_interval(PING.0).keep_alive_timeout(PING.1);
+    let (sender, connection) = builder.handshake(stream).await?;
     spawn_local(connection);
     Ok(sender)
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -23,7 +23,7 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::task::{JoinHandle, JoinSet, LocalSet, spawn_local};
 
 /// An instance is ready once the list has been told, or after this time with the list it had.
 const LIST_WAIT: Millis = 1000.0;
@@ -45,7 +45,8 @@
     deadlines: Deadlines,
     exchange: Exchange<Q, A>,
     orders: mpsc::UnboundedReceiver<Order<Q>>,
-    engine: JoinHandle<()>,
+    /// The parts without which an instance is none.
+    parts: JoinSet<()>,
     /// The most connections of clients and to real servers.
     most: [usize; 2],
     longest: Millis,
@@ -60,18 +61,20 @@
         let (exchange, news) = Exchange::new();
         let (orders, ordered) = mpsc::unbounded_channel();
         let mut outlets = Outlets { orders, counter: None, peers: None };
+        let mut parts = JoinSet::new();
         if let Some(at) = instance.counter.filter(|_| site.settings.counter) {
             let (calls, made) = mpsc::unbounded_channel();
             let exchange = exchange.clone();
             let counter = Counter { at, deadlines: deadlines.clone(), log: log.clone() };
-            spawn_local(counter.run(made, move |seq, answer| exchange.tell(News::Counted(seq, answer))));
+            parts
+                .spawn_local(counter.run(made, move |seq, answer| exchange.tell(News::Counted(seq, answer))));
             outlets.counter = Some(calls);
         }
         if let Some(at) = instance.peer_listen.filter(|_| site.settings.peers) {
             let peers = Peers::listen(at, instance.peers.clone(), log.clone()).await?;
             let (mail, sent) = mpsc::unbounded_channel();
             let exchange = exchange.clone();
-            spawn_local(peers.run(sent, move |from, bytes| exchange.tell(News::Heard(from, bytes))));
+            parts.spawn_local(peers.run(sent, move |from, bytes| exchange.tell(News::Heard(from, bytes))));
             outlets.peers = Some(mail);
         }
         let bounds = Bounds {
@@ -81,11 +84,12 @@
             retry_after: site.max_retry_after,
         };
         let engine = Engine::new(limiter, deadlines.clone(), news, outlets, bounds, log.clone());
+        parts.spawn_local(engine.run(known));
         Ok(Self {
             deadlines,
             exchange,
             orders: ordered,
-            engine: spawn_local(engine.run(known)),
+            parts,
             most: instance.limits.connections(),
             longest: site.classes.iter().map(|class| class.give_up).fold(0.0, f64::max),
             told: watch::Sender::new(false),
@@ -116,9 +120,9 @@
         info!(log, "serving"; "name" => &instance.name, "listen" => %instance.listen);
         tokio::select! {
             _ = stop => {}
-            // Without its engine an instance is none: its exit tells the operators.
-            ended = &mut self.engine => {
-                return Err(io::Error::other(format!("the engine ended: {ended:?}")));
+            // Prevents an instance that lives on without its engine or a side: its exit tells the operators.
+            ended = self.parts.join_next() => {
+                return Err(io::Error::other(format!("a part ended: {ended:?}")));
             }
         }
         info!(log, "stopping");
@@ -147,9 +151,11 @@
     let (deadlines, exchange, [clients, servers]) =
         (core.deadlines.clone(), core.exchange.clone(), core.most);
     let side = ClientSide::new(exchange.clone(), deadlines.clone(), site.clone(), servers, log.clone());
-    spawn_local(side.run(std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1)));
+    let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
+    core.parts.spawn_local(side.run(orders));
     let discovery = Discovery { agent, site: site.clone(), deadlines: deadlines.clone(), log: log.clone() };
-    spawn_local(discovery.run(generation, core.teller()));
+    let teller = core.teller();
+    core.parts.spawn_local(discovery.run(generation, teller));
     let (phase, phases) = watch::channel(Phase::Starting);
     let room = (clients, site.max_retry_after);
     let reader = site.clone();
@@ -173,9 +179,11 @@
     let mut core = Core::<Check, Bytes>::start(&instance, List::default(), flows, &log).await?;
     let (deadlines, exchange, [clients, _]) = (core.deadlines.clone(), core.exchange.clone(), core.most);
     let side = Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), log.clone());
-    spawn_local(side.run(std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1)));
+    let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
+    core.parts.spawn_local(side.run(orders));
     let watch = Watch { consul, site: site.clone(), deadlines, log: log.clone() };
-    spawn_local(watch.run(core.teller()));
+    let teller = core.teller();
+    core.parts.spawn_local(watch.run(teller));
     let (phase, mut phases) = watch::channel(Phase::Starting);
     let service = CheckService::new(Arc::new(Front { site: site.clone(), authz }), exchange);
     let draining = async move {
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -282,6 +282,39 @@
     });
 }
 
+#[test]
+fn told_to_stop_it_answers_what_it_has_taken_and_ends() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Stall).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let (listener, (stop, stopped)) = (listener().await, tokio::sync::oneshot::channel::<()>());
+        let at = listener.local_addr().unwrap();
+        let config = config(&consul, &[]);
+        let running =
+            spawn_local(node::serve_authz(config, listener, quiet(), async { drop(stopped.await) }));
+        let asking = spawn_local(check(at, message(MOVE, 1), "1400m"));
+        authoriser.called.notified().await;
+        stop.send(()).unwrap();
+        assert_eq!(denial(&asking.await.unwrap().unwrap()).0, 504);
+        running.await.unwrap().unwrap();
+        assert!(open(at).await.is_err());
+    });
+}
+
+#[test]
+fn a_connection_that_went_silent_is_given_up_for_a_new_one() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let cable = Cable::to(authoriser.at).await;
+        let consul = Consul::start(vec![instance("a", cable.at, 0, "passing")]).await;
+        let at = start(config(&consul, &[])).await;
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+        // What is connected now stays open and silent; new connections come up.
+        cable.cut();
+        while ask(at, BOARD, 1).await != allow() {}
+    });
+}
+
 #[test]
 fn a_bad_check_is_an_invalid_argument_and_reaches_nobody() {
     local(async {
@@ -347,9 +380,9 @@
             *consul.lie.borrow_mut() = Some((lie.0, lie.1.into()));
             more_queries(2).await;
             assert_eq!(ask(at, BOARD, 1).await, allow(), "after {lie:?}");
+            *consul.lie.borrow_mut() = None;
+            more_queries(1).await;
         }
-        *consul.lie.borrow_mut() = None;
-        more_queries(2).await;
         // The index goes back: the next query does not wait for the old one.
         consul.set(Some(3), vec![instance("a", authoriser.at, 0, "passing")]);
         consul.asked.borrow_mut().clear();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -159,6 +159,42 @@
     }
 }
 
+/// A cable to somebody: passes bytes on, until it is cut for the connections that it carries.
+pub struct Cable {
+    pub at: SocketAddr,
+    cut: watch::Sender<()>,
+}
+
+impl Cable {
+    pub async fn to(there: SocketAddr) -> Self {
+        let listener = listener().await;
+        let this = Self { at: listener.local_addr().unwrap(), cut: watch::Sender::new(()) };
+        let mut cut = this.cut.subscribe();
+        spawn_local(async move {
+            loop {
+                let (mut here, _) = listener.accept().await.unwrap();
+                let mut cut = {
+                    cut.borrow_and_update();
+                    cut.clone()
+                };
+                spawn_local(async move {
+                    let mut there = TcpStream::connect(there).await.unwrap();
+                    tokio::select! {
+                        _ = tokio::io::copy_bidirectional(&mut here, &mut there) => {}
+                        // Both ends stay open, and nothing passes.
+                        _ = cut.changed() => std::future::pending().await,
+                    }
+                });
+            }
+        });
+        this
+    }
+
+    pub fn cut(&self) {
+        self.cut.send_replace(());
+    }
+}
+
 /// Consul: the health and the catalogue of one service.
 #[derive(Clone)]
 pub struct Consul {
