--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run run-authz
 
 build:
 	cargo build --locked --release
@@ -10,6 +10,10 @@
 	cargo fmt --check
 	cargo clippy --locked --all-targets -- -D warnings
 
-# Starts one ingress; the RELAY_ variables tell it where (README.md).
+# One ingress of the platform; RELAY_CONFIG names its configuration.
 run: build
 	exec target/release/weldhub
+
+# One instance of the authorisation front.
+run-authz: build
+	exec target/release/weldhub --ext-authz deploy/ext-authz.toml
--- a/src/deadlines.rs
+++ b/src/deadlines.rs
@@ -47,6 +47,8 @@
     Timer(TimerKey),
     /// A call to the counter is taken for unanswered.
     Call(u64),
+    /// The log is told what became of the flows.
+    Tally,
     /// A task of the network code sleeps until then.
     Wake(Waker),
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -6,7 +6,7 @@
 use crate::interface::*;
 use crate::net::discovery::List;
 use crate::state::Limiter;
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use std::collections::{HashMap, VecDeque};
 use tokio::sync::{mpsc, oneshot};
 
@@ -62,6 +62,21 @@
     timed_out: bool,
 }
 
+/// So often the log tells what became of the flows.
+const TALLY: Millis = 10_000.0;
+
+/// What became of the flows since the last line in the log.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Tally {
+    served: u64,
+    turned_down: u64,
+    no_room: u64,
+    failed: u64,
+    left: u64,
+    schedulings: u64,
+    retried: u64,
+}
+
 /// The engine of one ingress.
 pub struct Engine<Q, A> {
     limiter: Limiter,
@@ -75,6 +90,7 @@
     now: Millis,
     /// Events that actions bring about at once.
     own: VecDeque<Event>,
+    tally: Tally,
     log: Logger,
 }
 
@@ -89,13 +105,14 @@
         log: Logger,
     ) -> Self {
         let now = deadlines.clock().now();
-        let (flows, calls, own) = Default::default();
-        Self { limiter, deadlines, news, outlets, bounds, flows, calls, next_call: 0, now, own, log }
+        let (flows, calls, own, tally) = Default::default();
+        Self { limiter, deadlines, news, outlets, bounds, flows, calls, next_call: 0, now, own, tally, log }
     }
 
     /// Starts from the list that was known last, if any, and runs until every way in is closed.
     pub async fn run(mut self, known: List) {
         self.now = self.deadlines.clock().now();
+        self.deadlines.add(self.now + TALLY, Due::Tally);
         self.feed(Event::Start);
         // Prevents the first list of all from being taken for one of newcomers, which are spared as cold.
         if !known.entries.is_empty() {
@@ -139,8 +156,7 @@
         match news {
             News::Arrived(id, terms, question, client) => {
                 if self.flows.len() >= self.bounds.flows {
-                    let _ = client.send(Verdict::NoRoom(self.bounds.retry_after));
-                    return;
+                    return self.answer(client, Verdict::NoRoom(self.bounds.retry_after));
                 }
                 let part = |slack: Millis| terms.left - slack.min(terms.left * SLACK_PART);
                 let left = part(SLACK);
@@ -163,6 +179,7 @@
             News::Left(id) => {
                 // One that has had its answer is over already.
                 if self.close(id).is_some() {
+                    self.tally.left += 1;
                     self.feed(Event::ClientLeft(id));
                 }
             }
@@ -200,15 +217,37 @@
             Due::Flow(id) => {
                 // The last guard: a flow that the decisions still hold gets its one final answer.
                 if let Some(client) = self.close(id) {
-                    let _ = client.send(Verdict::Failed { timed_out: true });
+                    self.answer(client, Verdict::Failed { timed_out: true });
                     debug!(self.log, "flow failed at its deadline"; "flow" => id.0);
                     self.feed(Event::ClientLeft(id));
                 }
             }
+            Due::Tally => {
+                self.deadlines.add(self.now + TALLY, Due::Tally);
+                let tally = std::mem::take(&mut self.tally);
+                if tally != Tally::default() || !self.flows.is_empty() {
+                    info!(self.log, "tally";
+                        "served" => tally.served, "turned_down" => tally.turned_down,
+                        "no_room" => tally.no_room, "failed" => tally.failed, "left" => tally.left,
+                        "schedulings" => tally.schedulings, "retried" => tally.retried,
+                        "open" => self.flows.len());
+                }
+            }
             Due::Wake(waker) => waker.wake(),
         }
     }
 
+    /// The one place where a flow's verdict goes out; a client that has left needs none.
+    fn answer(&mut self, client: oneshot::Sender<Verdict<A>>, verdict: Verdict<A>) {
+        match verdict {
+            Verdict::Served(_) => self.tally.served += 1,
+            Verdict::TurnDown(_) => self.tally.turned_down += 1,
+            Verdict::NoRoom(_) => self.tally.no_room += 1,
+            Verdict::Failed { .. } => self.tally.failed += 1,
+        }
+        let _ = client.send(verdict);
+    }
+
     fn order(&self, order: Order<Q>) {
         let _ = self.outlets.orders.send(order);
     }
@@ -234,24 +273,15 @@
         match answer {
             Some(answer) if outcome == Outcome::Served => {
                 if let Some(client) = self.close(id) {
-                    let _ = client.send(Verdict::Served(answer));
+                    self.answer(client, Verdict::Served(answer));
                 }
             }
             None if outcome == Outcome::Served => outcome = Outcome::Error,
             _ => {}
         }
         let closed = self.flows.get(&id).is_none_or(|flow| flow.client.is_none());
-        self.feed(Event::AttemptEnded(AttemptEnd {
-            request: id,
-            attempt: no,
-            server: ended.server,
-            outcome,
-            spent: self.now - ended.sent,
-            closed,
-            metered_use: None,
-            settled_units: None,
-            load,
-        }));
+        let spent = self.now - ended.sent;
+        self.feed(attempt_ended((id, no), ended.server, (outcome, spent), closed, load));
         if self.flows.get(&id).is_some_and(|flow| flow.client.is_none() && flow.out.is_empty()) {
             self.flows.remove(&id);
         }
@@ -263,13 +293,13 @@
             Action::Refuse(id, after) => {
                 if let Some(client) = self.close(id) {
                     let after = after.filter(|after| *after > 0.0).unwrap_or(self.bounds.retry_after);
-                    let _ = client.send(Verdict::TurnDown(after));
+                    self.answer(client, Verdict::TurnDown(after));
                 }
             }
             Action::Fail(id) => {
                 let timed_out = self.flows.get(&id).is_some_and(|flow| flow.timed_out);
                 if let Some(client) = self.close(id) {
-                    let _ = client.send(Verdict::Failed { timed_out });
+                    self.answer(client, Verdict::Failed { timed_out });
                 }
             }
             Action::Cancel(id, no) => self.order(Order::GiveUp(id, no, Outcome::Cancelled)),
@@ -310,20 +340,12 @@
         flow.started += 1;
         let wait = wait.unwrap_or(f64::INFINITY).min(flow.until - self.now);
         if flow.client.is_none() || no.0 >= self.bounds.schedulings || wait <= 0.0 {
-            let closed = flow.client.is_none();
-            self.own.push_back(Event::AttemptEnded(AttemptEnd {
-                request: id,
-                attempt: no,
-                server,
-                outcome: Outcome::Moot,
-                spent: 0.0,
-                closed,
-                metered_use: None,
-                settled_units: None,
-                load: Load::default(),
-            }));
+            let (closed, load) = (flow.client.is_none(), Load::default());
+            self.own.push_back(attempt_ended((id, no), server, (Outcome::Moot, 0.0), closed, load));
             return;
         }
+        self.tally.schedulings += 1;
+        self.tally.retried += u64::from(no.0 > 0);
         let deadline = self.deadlines.add(self.now + wait, Due::Scheduling(id, no));
         flow.out.push(Scheduling { no, server, sent: self.now, deadline });
         let question = flow.question.clone();
@@ -331,6 +353,28 @@
     }
 }
 
+/// The end of a scheduling, in the decisions' words.
+fn attempt_ended(
+    (request, attempt): (RequestId, AttemptNo),
+    server: ServerId,
+    (outcome, spent): (Outcome, Millis),
+    closed: bool,
+    load: Load,
+) -> Event {
+    let (metered_use, settled_units) = (None, None);
+    Event::AttemptEnded(AttemptEnd {
+        request,
+        attempt,
+        server,
+        outcome,
+        spent,
+        closed,
+        metered_use,
+        settled_units,
+        load,
+    })
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/fronts/ext_authz/service.rs
+++ b/src/fronts/ext_authz/service.rs
@@ -26,6 +26,9 @@
 
 /// Checks at once on a connection: more wait at the proxy.
 const STREAMS: u32 = 256;
+/// Bytes that a check, and all checks of a connection, may send ahead of being read: prevents callers that send
+/// and never finish from taking the memory.
+const WINDOWS: (u32, u32) = (64 * 1024, 128 * 1024);
 
 type Boxed<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
@@ -93,8 +96,11 @@
     let (sender, connections) = mpsc::channel(1);
     let accepting = tokio::spawn(accept(listener, most, sender, log));
     let connections = ReceiverStream::new(connections);
-    let server = Server::builder().max_concurrent_streams(STREAMS);
-    let served = { server }.serve_with_incoming_shutdown(service, connections, stop).await;
+    let server = Server::builder()
+        .max_concurrent_streams(STREAMS)
+        .initial_stream_window_size(WINDOWS.0)
+        .initial_connection_window_size(WINDOWS.1);
+    let served = server.serve_with_incoming_shutdown(service, connections, stop).await;
     accepting.abort();
     served
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -32,7 +32,7 @@
 /// Then it ends once all is answered, at the latest after the longest deadline and this.
 const DRAIN_SLACK: Millis = 100.0;
 /// The most checks at once for each connection that clients may have.
-const CHECKS: usize = 4;
+const CHECKS: usize = 2;
 
 /// Runs a future on a runtime of one thread.
 pub fn block_on<F: Future<Output = io::Result<()>>>(future: F) -> io::Result<()> {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -50,6 +50,19 @@
     }
 }
 
+/// Lets somebody serve every connection that comes.
+fn serve_each<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    mut serve: impl FnMut(TcpStream) -> F + 'static,
+) {
+    spawn_local(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            spawn_local(serve(stream));
+        }
+    });
+}
+
 /// Waits until something is so.
 pub async fn until(mut so: impl FnMut() -> bool) {
     while !so() {
@@ -222,13 +235,8 @@
         let state = watch::Sender::new((10, instances.into()));
         let (asked, lie) = Default::default();
         let this = Self { at: listener.local_addr().unwrap(), state, asked, lie };
-        let accepting = this.clone();
-        spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                spawn_local(accepting.clone().answer(stream));
-            }
-        });
+        let serving = this.clone();
+        serve_each(listener, move |stream| serving.clone().answer(stream));
         this
     }
 
@@ -274,13 +282,8 @@
         let listener = listener().await;
         let (numbers, calls) = Default::default();
         let this = Self { at: listener.local_addr().unwrap(), numbers, calls };
-        let accepting = this.clone();
-        spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                spawn_local(accepting.clone().answer(stream));
-            }
-        });
+        let serving = this.clone();
+        serve_each(listener, move |stream| serving.clone().answer(stream));
         this
     }
 
@@ -339,13 +342,8 @@
         let (got, connections) = Default::default();
         let manner = Rc::new(RefCell::new(manner));
         let this = Self { at: listener.local_addr().unwrap(), manner, got, connections };
-        let accepting = this.clone();
-        spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                spawn_local(accepting.clone().serve(stream));
-            }
-        });
+        let serving = this.clone();
+        serve_each(listener, move |stream| serving.clone().serve(stream));
         this
     }
 
@@ -400,13 +398,8 @@
             lines: watch::Sender::default(),
             asked: Rc::default(),
         };
-        let accepting = this.clone();
-        spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                spawn_local(accepting.clone().tell(stream));
-            }
-        });
+        let serving = this.clone();
+        serve_each(listener, move |stream| serving.clone().tell(stream));
         this
     }
 
