--- a/src/config.rs
+++ b/src/config.rs
@@ -305,8 +305,8 @@
     pub instance: Instance,
     /// Discovery's agent.
     pub discovery: SocketAddr,
-    /// The list as this ingress last had it.
-    pub known: List,
+    /// The list as this ingress last had it, if it had one.
+    pub known: Option<List>,
 }
 
 /// Limits that the machine sets.
@@ -371,12 +371,8 @@
             }
         }
         let instance = Instance::read(&pairs, &json)?;
-        let known = match json.get("known") {
-            Some(known) => {
-                List::read(known, &instance.site).map_err(|e| ConfigError(format!("known: {e}")))?
-            }
-            None => List::default(),
-        };
+        let known = json.get("known").map(|known| List::read(known, &instance.site));
+        let known = known.transpose().map_err(|e| ConfigError(format!("known: {e}")))?;
         Ok(Self { discovery: pairs.need("discovery")?, known, instance })
     }
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -110,12 +110,12 @@
     }
 
     /// Starts from the list that was known last, if any, and runs until every way in is closed.
-    pub async fn run(mut self, known: List) {
+    pub async fn run(mut self, known: Option<List>) {
         self.now = self.deadlines.clock().now();
         self.deadlines.add(self.now + TALLY, Due::Tally);
         self.feed(Event::Start);
         // Prevents the first list of all from being taken for one of newcomers, which are spared as cold.
-        if !known.entries.is_empty() {
+        if let Some(known) = known.filter(|known| !known.entries.is_empty()) {
             self.listed(known, ListKind::Cached);
         }
         loop {
@@ -418,7 +418,7 @@
             last_start: None,
         };
         let entries = vec![ServiceEntry { entry, at: "127.0.0.1:1".parse().ok() }];
-        spawn_local(engine.run(List { generation: 1, whole: true, entries }));
+        spawn_local(engine.run(Some(List { generation: 1, whole: true, entries })));
         Bed { exchange, orders, calls }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -101,9 +101,9 @@
 }
 
 impl Discovery {
-    /// Watches for ever, from the generation that is known; every list goes to `tell`. Silence, failures and
+    /// Watches for ever, from the generation that is known, if any; every list goes to `tell`. Silence, failures and
     /// garbage leave the list as it is.
-    pub async fn run(self, mut known: u64, mut tell: impl FnMut(List)) {
+    pub async fn run(self, mut known: Option<u64>, mut tell: impl FnMut(List)) {
         let mut pause = BACKOFF[0];
         loop {
             let mut heard = false;
@@ -119,12 +119,12 @@
     }
 
     /// One watch, until it ends; tells why.
-    async fn watch(&self, known: &mut u64, mut tell: impl FnMut(List)) -> String {
+    async fn watch(&self, known: &mut Option<u64>, mut tell: impl FnMut(List)) -> String {
         let Some(Ok(mut stream)) = self.deadlines.within(SILENCE, connect(self.agent)).await else {
             return "no connection".into();
         };
         // Without an index the agent gives the whole list.
-        let index = if *known > 0 { format!("&index={known}") } else { String::new() };
+        let index = known.map(|known| format!("&index={known}")).unwrap_or_default();
         let ask = format!("GET /v1/endpoints?stream=1{index} HTTP/1.1\r\nHost: {}\r\n\r\n", self.agent);
         if let Err(e) = stream.write_all(ask.as_bytes()).await {
             return e.to_string();
@@ -139,13 +139,13 @@
                 };
                 match list {
                     Ok(Some(list)) => {
-                        *known = list.generation;
+                        *known = Some(list.generation);
                         tell(list);
                     }
                     Ok(None) => {}
                     Err(why) => {
                         // What was missed is not known: the next watch begins with the whole list.
-                        *known = 0;
+                        *known = None;
                         warn!(self.log, "discovery told something unreadable"; "why" => &why);
                         return why;
                     }
@@ -204,16 +204,17 @@
 }
 
 /// Reads a line of a watch: none where it is only a sign of life.
-fn read_line(line: &[u8], known: u64, site: &Site) -> Result<Option<List>, String> {
+fn read_line(line: &[u8], known: Option<u64>, site: &Site) -> Result<Option<List>, String> {
     let line = line.trim_ascii();
     if line.is_empty() {
         return Ok(None);
     }
     let value = serde_json::from_slice(line).map_err(|e| e.to_string())?;
     let list = List::read(&value, site)?;
-    // Changes to a list that this ingress does not have: it has missed some, or discovery began anew.
-    if !list.whole && (known == 0 || list.generation < known) {
-        return Err(format!("changes of generation {} after {known}", list.generation));
+    // Changes to a list that this ingress does not have: it has missed some, or discovery began anew. A first
+    // list may well be generation 0.
+    if !list.whole && known.is_none_or(|known| list.generation < known) {
+        return Err(format!("changes of generation {} after {known:?}", list.generation));
     }
     Ok(Some(list))
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -54,7 +54,7 @@
 }
 
 impl<Q: Clone + 'static, A: 'static> Core<Q, A> {
-    async fn start(instance: &Instance, known: List, flows: usize, log: &Logger) -> io::Result<Self> {
+    async fn start(instance: &Instance, known: Option<List>, flows: usize, log: &Logger) -> io::Result<Self> {
         let deadlines = Deadlines::new(Clock::new());
         let site = &instance.site;
         let limiter = Limiter::new(site.settings.clone(), instance.seed).map_err(io::Error::other)?;
@@ -145,7 +145,7 @@
     // Polled from now on: a signal during the start is not missed.
     let stop = spawn_local(stop);
     let Config { instance, discovery: agent, known } = config;
-    let (site, generation) = (&instance.site, known.generation);
+    let (site, generation) = (&instance.site, known.as_ref().map(|known| known.generation));
     let flows = instance.limits.connections()[0];
     let mut core = Core::<Question, Answer>::start(&instance, known, flows, &log).await?;
     let (deadlines, exchange, [clients, servers]) =
@@ -176,7 +176,7 @@
     let AuthzConfig { instance, consul, authz } = config;
     let site = &instance.site;
     let flows = instance.limits.connections()[0] * CHECKS;
-    let mut core = Core::<Check, Bytes>::start(&instance, List::default(), flows, &log).await?;
+    let mut core = Core::<Check, Bytes>::start(&instance, None, flows, &log).await?;
     let (deadlines, exchange, [clients, _]) = (core.deadlines.clone(), core.exchange.clone(), core.most);
     let side = Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), log.clone());
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
