--- a/src/deadlines.rs
+++ b/src/deadlines.rs
@@ -107,6 +107,9 @@
     /// Takes out all that are due at `now`, in order; sleepers are woken and not told.
     pub fn sweep(&self, now: Millis) -> Vec<Due> {
         let mut sorted = self.sorted.borrow_mut();
+        if sorted.due.first_key_value().is_none_or(|(first, _)| first.0 > micros(now)) {
+            return Vec::new();
+        }
         let later = sorted.due.split_off(&(micros(now) + 1, 0));
         let due = std::mem::replace(&mut sorted.due, later);
         drop(sorted);
