Take SIGHUP: read the file again and move discovery and the counter at once

Ruled out: a crash in our code (the log ends with no line, and 129 is 128 + SIGHUP).

Now the signal is caught before the listener is bound. The file is checked whole; one that could not be started from is logged and changes nothing. RELAY_DISCOVERY, which is that of the start, no longer goes before the file then. The watch is opened anew at the new agent from the known version; new calls go to the new counter while the old connection still answers its own. Consul and the counter of the authorisation front move in the same way.

Fixed with it, seen while reading: the counter's silence was counted from the last news, so calls that go on coming hid it; an unreadable answer of the counter had calls fail for 100 ms though it answers; a watch was given up after 7 s of silence, later than what it has to tell counts as told (6 s), and its backoff went to 2 s.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,16 @@
-//! The command line: reads the configuration, starts the log and runs until SIGTERM.
+//! The command line: reads the configuration, starts the log and runs until SIGTERM; SIGHUP has the configuration
+//! read again.
 
-use crate::config::{AuthzConfig, Config};
+use crate::config::{AuthzConfig, Config, ConfigError, Ways};
 use crate::node;
-use slog::{Drain, Level, Logger, crit, o};
+use slog::{Drain, Level, Logger, crit, info, o, warn};
+use std::io;
 use std::process::ExitCode;
 use std::sync::Mutex;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
 
 /// A log on standard error; `WELDHUB_LOG=debug` tells more.
 pub fn logger() -> Logger {
@@ -30,22 +34,52 @@
     }
 }
 
+/// Has the configuration read again at each SIGHUP, from now on and to the end of the program, whose default is to
+/// end at it. One that cannot be used changes nothing.
+fn on_hangup(
+    first: Ways,
+    reread: impl Fn() -> Result<Ways, ConfigError> + 'static,
+    log: Logger,
+) -> io::Result<watch::Receiver<Ways>> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    let (ways, moved) = watch::channel(first);
+    spawn_local(async move {
+        while hangups.recv().await.is_some() {
+            match reread() {
+                Ok(new) => {
+                    let counter = new.counter.map(|at| at.to_string());
+                    info!(log, "configuration read again"; "discovery" => %new.discovery, "counter" => counter);
+                    ways.send_replace(new);
+                }
+                Err(e) => warn!(log, "the new configuration cannot be used"; "error" => %e),
+            }
+        }
+    });
+    Ok(moved)
+}
+
 /// `weldhub` serves the platform; `weldhub --ext-authz FILE` is set up by an operator's file.
 fn run(log: &Logger) -> Result<(), Box<dyn std::error::Error>> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         [] => {
-            let config = Config::from_env()?;
+            let mut config = Config::from_env()?;
             node::block_on(async {
+                let ways = on_hangup(config.ways(), Config::ways_from_env, log.clone())?;
                 let listener = TcpListener::bind(config.instance.listen).await?;
-                node::serve(config, listener, log.clone(), told_to_stop()).await
+                config.instance.listen = listener.local_addr()?;
+                node::serve(config, listener, log.clone(), ways, told_to_stop()).await
             })?;
         }
         ["--ext-authz", path] => {
-            let config = AuthzConfig::from_file(path)?;
+            let mut config = AuthzConfig::from_file(path)?;
             node::block_on(async {
+                let path = path.to_owned();
+                let reread = move || AuthzConfig::from_file(&path).map(|config| config.ways());
+                let ways = on_hangup(config.ways(), reread, log.clone())?;
                 let listener = TcpListener::bind(config.instance.listen).await?;
-                node::serve_authz(config, listener, log.clone(), told_to_stop()).await
+                config.instance.listen = listener.local_addr()?;
+                node::serve_authz(config, listener, log.clone(), ways, told_to_stop()).await
             })?;
         }
         _ => return Err("usage: weldhub [--ext-authz FILE]".into()),
--- a/src/config.rs
+++ b/src/config.rs
@@ -309,6 +309,15 @@
     pub known: Option<List>,
 }
 
+/// The addresses that a new configuration moves while the program runs; all else is taken in at its next start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ways {
+    /// Discovery's agent, or Consul's.
+    pub discovery: SocketAddr,
+    /// The shared counter.
+    pub counter: Option<SocketAddr>,
+}
+
 /// Limits that the machine sets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -352,11 +361,34 @@
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn from_env() -> Result<Self, ConfigError> {
+        Self::read(&Self::file()?, |name| std::env::var(name).ok())
+    }
+
+    fn file() -> Result<String, ConfigError> {
         let path =
             std::env::var("RELAY_CONFIG").map_err(|_| ConfigError("RELAY_CONFIG is not set".into()))?;
-        let text = std::fs::read_to_string(&path)
-            .map_err(|e| ConfigError(format!("RELAY_CONFIG={path} cannot be read: {e}")))?;
-        Self::read(&text, |name| std::env::var(name).ok())
+        std::fs::read_to_string(&path)
+            .map_err(|e| ConfigError(format!("RELAY_CONFIG={path} cannot be read: {e}")))
+    }
+
+    /// Reads the file again; one that could not be started from moves nothing.
+    pub fn ways_from_env() -> Result<Ways, ConfigError> {
+        Self::reread(&Self::file()?, |name| std::env::var(name).ok())
+    }
+
+    /// Reads the JSON text of a new configuration. Prevents the environment, which is that of the start, from
+    /// holding discovery at its old address.
+    pub fn reread(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Ways, ConfigError> {
+        match Self::read(text, |name| env(name).filter(|_| name != "RELAY_DISCOVERY")) {
+            Err(ConfigError(why)) if why == "discovery is missing" => Self::read(text, env),
+            read => read,
+        }
+        .map(|config| config.ways())
+    }
+
+    /// The addresses that a new configuration may move.
+    pub fn ways(&self) -> Ways {
+        Ways { discovery: self.discovery, counter: self.instance.counter }
     }
 
     /// Reads the JSON text; what the environment says goes before it.
@@ -454,6 +486,11 @@
         Self::read(&text, |name| std::env::var(name).ok())
     }
 
+    /// The addresses that a new configuration may move.
+    pub fn ways(&self) -> Ways {
+        Ways { discovery: self.consul.address, counter: self.instance.counter }
+    }
+
     /// Reads the text of the operator's file.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let value: Value = toml::from_str(text).map_err(|e| ConfigError(format!("not TOML: {e}")))?;
--- a/src/consul.rs
+++ b/src/consul.rs
@@ -6,10 +6,11 @@
 use crate::interface::*;
 use crate::net::discovery::{List, ServiceEntry, server_id};
 use crate::net::http::{Kind, take_message};
-use crate::net::stream::{connect, read_more};
+use crate::net::stream::{Way, connect, read_more};
 use bytes::BytesMut;
 use serde_json::Value;
 use slog::{Logger, info, warn};
+use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 
 /// A query that fails is asked again after the first, then twice as long each time, up to the second.
@@ -24,7 +25,9 @@
 /// A watch on a service.
 #[derive(Debug)]
 pub struct Watch {
-    /// Where Consul is and what to ask it.
+    /// The agent's address.
+    pub agent: Way,
+    /// What to ask it.
     pub consul: Consul,
     /// For reading entries.
     pub site: Site,
@@ -39,7 +42,16 @@
     pub async fn run(self, mut tell: impl FnMut(List)) {
         let (mut index, mut pause, mut last) = (0, BACKOFF[0], None);
         loop {
-            match self.ask(index).await {
+            let at = self.agent.now();
+            let asked = tokio::select! {
+                asked = self.ask(at, index) => asked,
+                // Another agent counts its index by itself: it is asked for all, at once.
+                () = self.agent.moved_from(at) => {
+                    (index, pause) = (0, BACKOFF[0]);
+                    continue;
+                }
+            };
+            match asked {
                 Ok((next, entries)) => {
                     pause = BACKOFF[0];
                     // Prevents waiting for ever on an index that Consul has gone back behind.
@@ -54,7 +66,10 @@
                 Err(why) => {
                     warn!(self.log, "consul query failed"; "why" => why, "again_in_ms" => pause);
                     index = 0;
-                    self.deadlines.sleep(pause).await;
+                    tokio::select! {
+                        () = self.deadlines.sleep(pause) => {}
+                        () = self.agent.moved_from(at) => pause = BACKOFF[0],
+                    }
                     pause = (pause * 2.0).min(BACKOFF[1]);
                 }
             }
@@ -62,17 +77,18 @@
     }
 
     /// One query: the next index and the entries.
-    async fn ask(&self, index: u64) -> Result<(u64, Vec<ServiceEntry>), String> {
+    async fn ask(&self, at: SocketAddr, index: u64) -> Result<(u64, Vec<ServiceEntry>), String> {
         let Consul { service, wait, .. } = &self.consul;
         // The first query, and the one after a reset, is answered at once.
         let blocking =
             if index > 0 { format!("?index={index}&wait={}ms", *wait as u64) } else { String::new() };
         let patience = if index > 0 { wait * (1.0 + LATE.0) + LATE.1 } else { LATE.1 };
-        let (next, health) = self.get(&format!("/v1/health/service/{service}{blocking}"), patience).await?;
+        let (next, health) =
+            self.get(at, &format!("/v1/health/service/{service}{blocking}"), patience).await?;
         let nodes = health.as_array().ok_or("the health answer is no list")?;
         if nodes.is_empty() {
             // Prevents an outage from a health answer that lost what the catalogue still holds.
-            let (_, held) = self.get(&format!("/v1/catalog/service/{service}"), CATALOGUE).await?;
+            let (_, held) = self.get(at, &format!("/v1/catalog/service/{service}"), CATALOGUE).await?;
             if held.as_array().is_none_or(|held| !held.is_empty()) {
                 return Err("the health answer is empty and the catalogue is not".into());
             }
@@ -88,19 +104,18 @@
         Ok((next, nodes.iter().filter_map(read).collect()))
     }
 
-    async fn get(&self, target: &str, patience: Millis) -> Result<(u64, Value), String> {
-        let asked = self.deadlines.within(patience, self.fetch(target)).await;
+    async fn get(&self, at: SocketAddr, target: &str, patience: Millis) -> Result<(u64, Value), String> {
+        let asked = self.deadlines.within(patience, self.fetch(at, target)).await;
         asked.ok_or_else(|| "silence".to_owned())?
     }
 
-    async fn fetch(&self, target: &str) -> Result<(u64, Value), String> {
+    async fn fetch(&self, at: SocketAddr, target: &str) -> Result<(u64, Value), String> {
         let told = |e: std::io::Error| e.to_string();
-        let mut stream = connect(self.consul.address).await.map_err(told)?;
+        let mut stream = connect(at).await.map_err(told)?;
         let token = match &self.consul.token {
             Some(token) => format!("X-Consul-Token: {token}\r\n"),
             None => String::new(),
         };
-        let at = self.consul.address;
         let ask = format!("GET {target} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n{token}\r\n");
         stream.write_all(ask.as_bytes()).await.map_err(told)?;
         let mut buffer = BytesMut::new();
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -1,7 +1,7 @@
 //! The shared counter: calls go one after another over one connection and answers return in that order, also
 //! those that the engine no longer waits for.
 
-use super::stream::{connect, read_more};
+use super::stream::{Way, connect, read_more};
 use crate::deadlines::Deadlines;
 use crate::exchange::Call;
 use crate::interface::{CounterAnswer, Millis};
@@ -12,6 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 
 /// The counter closes what stands idle for 10 s or less: a connection idle for this long is closed here.
 const IDLE: Millis = 3000.0;
@@ -21,53 +22,84 @@
 const PAUSE: Millis = 100.0;
 /// The most calls without an answer on a connection, and the longest line of an answer.
 const BOUNDS: (usize, usize) = (1024, 256);
+const UNREADABLE: &str = "an answer is unreadable";
 
 /// The way to the counter.
 #[derive(Debug)]
 pub struct Counter {
     /// Its address.
-    pub at: SocketAddr,
+    pub at: Way,
     /// For its pauses.
     pub deadlines: Deadlines,
     /// Where its troubles are logged.
     pub log: Logger,
 }
 
+/// A connection to the counter.
+struct Line {
+    stream: TcpStream,
+    buffer: BytesMut,
+    /// Calls written whole that have no answer yet, in order.
+    waiting: VecDeque<u64>,
+    /// Since when the first of them has been the first.
+    since: Millis,
+}
+
+/// How a connection ended.
+enum End {
+    /// It was idle, or there are no more calls.
+    Idle,
+    /// It was lost, for this reason; the next is opened no sooner than after this pause.
+    Lost(String, Millis),
+    /// The counter is elsewhere now: what was called here is still answered here.
+    Moved(Line),
+}
+
 impl Counter {
     /// Makes calls until there are no more; every one is answered once.
     pub async fn run(
         self,
         mut calls: mpsc::UnboundedReceiver<Call>,
-        mut tell: impl FnMut(u64, CounterAnswer),
+        tell: impl Fn(u64, CounterAnswer) + Clone + 'static,
     ) {
-        let mut rest_until = f64::NEG_INFINITY;
+        let (mut rest_until, mut resting_at) = (f64::NEG_INFINITY, None);
         while let Some(first) = calls.recv().await {
-            if self.deadlines.clock().now() < rest_until {
+            let at = self.at.now();
+            if self.deadlines.clock().now() < rest_until && resting_at == Some(at) {
                 tell(first.seq, CounterAnswer::NotAdded);
                 continue;
             }
-            let Some(Ok(stream)) = self.deadlines.within(PATIENCE, connect(self.at)).await else {
-                info!(self.log, "the counter cannot be reached"; "counter" => %self.at);
+            let connected = tokio::select! {
+                connected = self.deadlines.within(PATIENCE, connect(at)) => connected,
+                () = self.at.moved_from(at) => None,
+            };
+            let Some(Ok(stream)) = connected else {
+                info!(self.log, "the counter cannot be reached"; "counter" => %at);
                 tell(first.seq, CounterAnswer::NotAdded);
-                rest_until = self.deadlines.clock().now() + PAUSE;
+                (rest_until, resting_at) = (self.deadlines.clock().now() + PAUSE, Some(at));
                 continue;
             };
-            if let Err(why) = self.talk(stream, first, &mut calls, &mut tell).await {
-                info!(self.log, "the counter's connection was lost"; "counter" => %self.at, "why" => why);
-                rest_until = self.deadlines.clock().now() + PAUSE;
+            let line = Line { stream, buffer: BytesMut::new(), waiting: VecDeque::new(), since: 0.0 };
+            match self.talk(line, at, first, &mut calls, &tell).await {
+                End::Idle => {}
+                End::Lost(why, pause) => {
+                    info!(self.log, "the counter's connection was lost"; "counter" => %at, "why" => why);
+                    (rest_until, resting_at) = (self.deadlines.clock().now() + pause, Some(at));
+                }
+                End::Moved(line) => drop(spawn_local(line.finish(self.deadlines.clone(), tell.clone()))),
             }
         }
     }
 
-    /// One connection's life: ends well when it has been idle.
+    /// One connection's life.
     async fn talk(
         &self,
-        mut stream: TcpStream,
+        mut line: Line,
+        at: SocketAddr,
         first: Call,
         calls: &mut mpsc::UnboundedReceiver<Call>,
-        tell: &mut impl FnMut(u64, CounterAnswer),
-    ) -> Result<(), String> {
-        let (mut waiting, mut buffer) = (VecDeque::new(), BytesMut::new());
+        tell: &impl Fn(u64, CounterAnswer),
+    ) -> End {
         let mut next = Some(first);
         loop {
             if let Some(first) = next.take() {
@@ -78,54 +110,82 @@
                     batch.push(call.seq);
                     coming = calls.try_recv().ok();
                 }
-                let written = write(&mut stream, &text).await;
+                if line.waiting.is_empty() {
+                    line.since = self.deadlines.clock().now();
+                }
+                let written = write(&mut line.stream, &text).await;
                 // Calls whose last byte was not written add nothing.
                 let whole = text.as_bytes()[..written].iter().filter(|b| **b == b'\n').count();
-                waiting.extend(&batch[..whole]);
+                line.waiting.extend(&batch[..whole]);
                 if whole < batch.len() {
                     batch[whole..].iter().for_each(|seq| tell(*seq, CounterAnswer::NotAdded));
-                    return lost(waiting, tell, "a call was not written".into());
+                    return line.lost("a call was not written", tell);
                 }
             }
-            if waiting.len() > BOUNDS.0 {
-                return lost(waiting, tell, "too many calls without an answer".into());
+            if line.waiting.len() > BOUNDS.0 {
+                return line.lost("too many calls without an answer", tell);
             }
-            let patience = if waiting.is_empty() { IDLE } else { PATIENCE };
+            // From the first that waits, not from the last news: calls that go on coming must not hide a silence.
+            let now = self.deadlines.clock().now();
+            let patience = if line.waiting.is_empty() { IDLE } else { line.since + PATIENCE - now };
             tokio::select! {
                 biased;
-                read = read_more(&mut stream, &mut buffer) => match read {
+                read = line.read(now, tell) => match read {
                     Ok(true) => {}
-                    Ok(false) if waiting.is_empty() => return Ok(()),
-                    Ok(false) => return lost(waiting, tell, "it ended".into()),
-                    Err(e) => return lost(waiting, tell, e.to_string()),
+                    Ok(false) if line.waiting.is_empty() => return End::Idle,
+                    Ok(false) => return line.lost("it ended", tell),
+                    Err(why) => return line.lost(why, tell),
                 },
+                () = self.at.moved_from(at) => return End::Moved(line),
                 call = calls.recv() => match call {
                     Some(call) => next = Some(call),
-                    None => return Ok(()),
+                    None => return End::Idle,
                 },
                 () = self.deadlines.sleep(patience) => {
-                    return match waiting.is_empty() {
-                        true => Ok(()),
-                        false => lost(waiting, tell, "silence".into()),
+                    return match line.waiting.is_empty() {
+                        true => End::Idle,
+                        false => line.lost("silence", tell),
                     };
                 }
             }
-            while let Some(answer) = take_answer(&mut buffer) {
-                let Some(answer) = answer else {
-                    return lost(waiting, tell, "an answer is unreadable".into());
-                };
-                let Some(seq) = waiting.pop_front() else {
-                    return Err("an answer to no call".into());
-                };
-                tell(seq, answer);
-            }
-            if buffer.len() > BOUNDS.1 {
-                return lost(waiting, tell, "an answer is too long".into());
-            }
         }
     }
 }
 
+impl Line {
+    /// Reads what has come and tells the answers in it; false at the end of the stream.
+    async fn read(&mut self, now: Millis, tell: &impl Fn(u64, CounterAnswer)) -> Result<bool, &'static str> {
+        let more = read_more(&mut self.stream, &mut self.buffer).await.map_err(|_| "it broke")?;
+        while let Some(answer) = take_answer(&mut self.buffer) {
+            // What has no number in it says that it was added and no more; nor does what comes behind it.
+            let answer = answer.ok_or(UNREADABLE)?;
+            let seq = self.waiting.pop_front().ok_or("an answer to no call")?;
+            self.since = now;
+            tell(seq, answer);
+        }
+        match self.buffer.len() > BOUNDS.1 {
+            true => Err(UNREADABLE),
+            false => Ok(more),
+        }
+    }
+
+    /// What was written whole may have been added, or may yet be.
+    fn lost(self, why: &str, tell: &impl Fn(u64, CounterAnswer)) -> End {
+        self.waiting.into_iter().for_each(|seq| tell(seq, CounterAnswer::Unknown));
+        // A counter that answers can be called again at once.
+        End::Lost(why.to_owned(), if why == UNREADABLE { 0.0 } else { PAUSE })
+    }
+
+    /// Waits for the answers that are still to come at an address that takes no more calls. Prevents calls that
+    /// were added there from being added again at the new one.
+    async fn finish(mut self, deadlines: Deadlines, tell: impl Fn(u64, CounterAnswer)) {
+        let rest =
+            async { while !self.waiting.is_empty() && self.read(0.0, &tell).await.unwrap_or(false) {} };
+        deadlines.within(PATIENCE, rest).await;
+        self.lost("it has moved", &tell);
+    }
+}
+
 fn life(keep: Millis) -> u64 {
     (keep.max(1.0) as u64).min(60_000)
 }
@@ -142,16 +202,6 @@
     written
 }
 
-/// What was written whole may have been added, or may yet be.
-fn lost(
-    waiting: VecDeque<u64>,
-    tell: &mut impl FnMut(u64, CounterAnswer),
-    why: String,
-) -> Result<(), String> {
-    waiting.into_iter().for_each(|seq| tell(seq, CounterAnswer::Unknown));
-    Err(why)
-}
-
 /// The next answer in the buffer, if a whole line has come: what it says, or none where that is nothing known.
 pub(super) fn take_answer(buffer: &mut BytesMut) -> Option<Option<CounterAnswer>> {
     let end = buffer.iter().position(|b| *b == b'\n')?;
@@ -168,10 +218,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::Ways;
     use crate::deadlines::Clock;
     use crate::interface::CounterName;
     use tokio::io::{AsyncBufReadExt, BufReader};
     use tokio::net::TcpListener;
+    use tokio::sync::watch;
+    use tokio::task::LocalSet;
 
     fn call(seq: u64) -> Call {
         Call { seq, name: CounterName(10 + seq), amount: -2.5, keep: 90_000.0 }
@@ -185,7 +238,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let deadlines = Deadlines::new(Clock::new());
         let log = Logger::root(slog::Discard, slog::o!());
-        let counter = Counter { at: listener.local_addr().unwrap(), deadlines, log };
+        let ways = Ways { discovery: listener.local_addr().unwrap(), counter: None };
+        let (_ways, ways) = watch::channel(ways);
+        let at = Way::new(&ways, ways.borrow().discovery, |ways| ways.counter);
+        let counter = Counter { at, deadlines, log };
         let (made, coming) = mpsc::unbounded_channel();
         (0..calls).for_each(|seq| made.send(call(seq)).unwrap());
         let (told, mut tells) = mpsc::unbounded_channel();
@@ -196,7 +252,7 @@
             }
             all
         };
-        let client = counter.run(coming, |seq, answer| told.send((seq, answer)).unwrap());
+        let client = counter.run(coming, move |seq, answer| told.send((seq, answer)).unwrap());
         let scripted = async { script(listener).await.await };
         tokio::select! {
             all = all => all,
@@ -241,4 +297,55 @@
         let all = answers(2, async |listener| async move { drop(listener) }).await;
         assert_eq!(all, [(0, CounterAnswer::NotAdded), (1, CounterAnswer::NotAdded)]);
     }
+
+    #[tokio::test]
+    async fn an_answer_without_a_number_says_added_and_ends_its_connection_and_the_next_call_goes_out_at_once()
+     {
+        let all = answers(3, async |listener| async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut stream = BufReader::new(stream);
+            let mut text = String::new();
+            for _ in 0..3 {
+                stream.read_line(&mut text).await.unwrap();
+            }
+            stream.write_all(b"ok 4\r\nok 4x\r\nok 9\r\n").await.unwrap();
+            // Its end shows that the connection is done.
+            assert_eq!(stream.read_line(&mut text).await.unwrap(), 0);
+            std::future::pending().await
+        });
+        let unknown = CounterAnswer::Unknown;
+        assert_eq!(all.await, [(0, CounterAnswer::Total(4.0)), (1, unknown), (2, unknown)]);
+    }
+
+    /// A new configuration may name another counter: new calls go there at once, and each is answered once.
+    #[test]
+    fn a_counter_that_moves_still_answers_what_it_was_called_and_new_calls_go_to_the_new_address() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let [old, new] = [
+                TcpListener::bind("127.0.0.1:0").await.unwrap(),
+                TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            ];
+            let [old_at, new_at] = [&old, &new].map(|at| at.local_addr().unwrap());
+            let (move_to, ways) = watch::channel(Ways { discovery: old_at, counter: Some(old_at) });
+            let at = Way::new(&ways, old_at, |ways| ways.counter);
+            let log = Logger::root(slog::Discard, slog::o!());
+            let counter = Counter { at, deadlines: Deadlines::new(Clock::new()), log };
+            let (made, coming) = mpsc::unbounded_channel();
+            let (told, mut tells) = mpsc::unbounded_channel();
+            spawn_local(counter.run(coming, move |seq, answer| told.send((seq, answer)).unwrap()));
+            made.send(call(0)).unwrap();
+            let mut old = BufReader::new(old.accept().await.unwrap().0);
+            old.read_line(&mut String::new()).await.unwrap();
+            move_to.send_replace(Ways { discovery: old_at, counter: Some(new_at) });
+            made.send(call(1)).unwrap();
+            let mut new = BufReader::new(new.accept().await.unwrap().0);
+            new.read_line(&mut String::new()).await.unwrap();
+            new.write_all(b"ok 2\r\n").await.unwrap();
+            assert_eq!(tells.recv().await, Some((1, CounterAnswer::Total(2.0))));
+            old.write_all(b"ok 1\r\n").await.unwrap();
+            assert_eq!(tells.recv().await, Some((0, CounterAnswer::Total(1.0))));
+            assert_eq!(old.read_line(&mut String::new()).await.unwrap(), 0, "the old connection is closed");
+        });
+    }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: keeps a watch on the service entries open and tells the engine of every change.
 
 use super::http::{self, Kind};
-use super::stream::{connect, read_more};
+use super::stream::{Way, connect, read_more};
 use crate::config::Site;
 use crate::deadlines::Deadlines;
 use crate::interface::*;
@@ -12,10 +12,13 @@
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 
-/// A watch gives a sign of life every 2 s; one silent for this long is opened anew.
-const SILENCE: Millis = 7000.0;
+/// A watch gives a sign of life every 2 s; one silent for this long is opened anew. With the time for that it
+/// stays below the 6 s after which what discovery has to tell counts as told.
+const SILENCE: Millis = 4500.0;
+/// A connection to the agent that is not up by then never will be: it is on this machine.
+const CONNECT: Millis = 1000.0;
 /// A watch that fails is opened again after the first, then twice as long each time, up to the second.
-const BACKOFF: [Millis; 2] = [50.0, 2000.0];
+const BACKOFF: [Millis; 2] = [50.0, 1000.0];
 
 /// A service entry: a line of the list.
 #[derive(Debug, Clone, PartialEq)]
@@ -91,7 +94,7 @@
 #[derive(Debug)]
 pub struct Discovery {
     /// The agent's address.
-    pub agent: SocketAddr,
+    pub agent: Way,
     /// For reading entries.
     pub site: Site,
     /// For its pauses.
@@ -106,26 +109,34 @@
     pub async fn run(self, mut known: Option<u64>, mut tell: impl FnMut(List)) {
         let mut pause = BACKOFF[0];
         loop {
-            let mut heard = false;
-            let why = self.watch(&mut known, |list| {
+            let (at, mut heard) = (self.agent.now(), false);
+            let watch = self.watch(at, &mut known, |list| {
                 heard = true;
                 tell(list);
             });
-            let why = why.await;
-            pause = if heard { BACKOFF[0] } else { (pause * 2.0).min(BACKOFF[1]) };
-            info!(self.log, "discovery watch ended"; "why" => why, "again_in_ms" => pause);
-            self.deadlines.sleep(pause).await;
+            // The new agent is asked at once for what came after the version that is known: nothing is lost.
+            tokio::select! {
+                why = watch => {
+                    pause = if heard { BACKOFF[0] } else { (pause * 2.0).min(BACKOFF[1]) };
+                    info!(self.log, "discovery watch ended"; "why" => why, "again_in_ms" => pause);
+                }
+                () = self.agent.moved_from(at) => pause = BACKOFF[0],
+            }
+            tokio::select! {
+                () = self.deadlines.sleep(pause) => {}
+                () = self.agent.moved_from(at) => {}
+            }
         }
     }
 
     /// One watch, until it ends; tells why.
-    async fn watch(&self, known: &mut Option<u64>, mut tell: impl FnMut(List)) -> String {
-        let Some(Ok(mut stream)) = self.deadlines.within(SILENCE, connect(self.agent)).await else {
+    async fn watch(&self, at: SocketAddr, known: &mut Option<u64>, mut tell: impl FnMut(List)) -> String {
+        let Some(Ok(mut stream)) = self.deadlines.within(CONNECT, connect(at)).await else {
             return "no connection".into();
         };
         // Without an index the agent gives the whole list.
         let index = known.map(|known| format!("&index={known}")).unwrap_or_default();
-        let ask = format!("GET /v1/endpoints?stream=1{index} HTTP/1.1\r\nHost: {}\r\n\r\n", self.agent);
+        let ask = format!("GET /v1/endpoints?stream=1{index} HTTP/1.1\r\nHost: {at}\r\n\r\n");
         if let Err(e) = stream.write_all(ask.as_bytes()).await {
             return e.to_string();
         }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,10 +1,12 @@
 //! Small helpers for TCP streams.
 
+use crate::config::Ways;
 use bytes::BytesMut;
 use std::io;
 use std::net::SocketAddr;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Connects without delaying small writes.
 pub async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
@@ -18,3 +20,35 @@
     buffer.reserve(2048);
     Ok(stream.read_buf(buffer).await? > 0)
 }
+
+/// An address that a new configuration may move.
+#[derive(Debug, Clone)]
+pub struct Way {
+    ways: watch::Receiver<Ways>,
+    pick: fn(&Ways) -> Option<SocketAddr>,
+    first: SocketAddr,
+}
+
+impl Way {
+    /// The address that `pick` picks; a configuration without one leaves it at `first`.
+    pub fn new(
+        ways: &watch::Receiver<Ways>,
+        first: SocketAddr,
+        pick: fn(&Ways) -> Option<SocketAddr>,
+    ) -> Self {
+        Self { ways: ways.clone(), pick, first }
+    }
+
+    /// Where it is now.
+    pub fn now(&self) -> SocketAddr {
+        (self.pick)(&self.ways.borrow()).unwrap_or(self.first)
+    }
+
+    /// Resolves once it is elsewhere; never where no new configuration can come any more.
+    pub async fn moved_from(&self, at: SocketAddr) {
+        let (pick, first, mut ways) = (self.pick, self.first, self.ways.clone());
+        if ways.wait_for(|ways| pick(ways).unwrap_or(first) != at).await.is_err() {
+            std::future::pending().await
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,6 @@
 //! Puts an instance together: one front round one engine, until it is told to stop.
 
-use crate::config::{AuthzConfig, Config, Instance};
+use crate::config::{AuthzConfig, Config, Instance, Ways};
 use crate::consul::Watch;
 use crate::deadlines::{Clock, Deadlines};
 use crate::engine::{Bounds, Engine, Outlets};
@@ -15,6 +15,7 @@
 use crate::net::discovery::{Discovery, List};
 use crate::net::peers::Peers;
 use crate::net::server_side::{Phase, ServerSide};
+use crate::net::stream::Way;
 use crate::state::Limiter;
 use bytes::Bytes;
 use slog::{Logger, info};
@@ -54,7 +55,13 @@
 }
 
 impl<Q: Clone + 'static, A: 'static> Core<Q, A> {
-    async fn start(instance: &Instance, known: Option<List>, flows: usize, log: &Logger) -> io::Result<Self> {
+    async fn start(
+        instance: &Instance,
+        ways: &watch::Receiver<Ways>,
+        known: Option<List>,
+        flows: usize,
+        log: &Logger,
+    ) -> io::Result<Self> {
         let deadlines = Deadlines::new(Clock::new());
         let site = &instance.site;
         let limiter = Limiter::new(site.settings.clone(), instance.seed).map_err(io::Error::other)?;
@@ -65,6 +72,7 @@
         if let Some(at) = instance.counter.filter(|_| site.settings.counter) {
             let (calls, made) = mpsc::unbounded_channel();
             let exchange = exchange.clone();
+            let at = Way::new(ways, at, |ways| ways.counter);
             let counter = Counter { at, deadlines: deadlines.clone(), log: log.clone() };
             parts
                 .spawn_local(counter.run(made, move |seq, answer| exchange.tell(News::Counted(seq, answer))));
@@ -135,11 +143,13 @@
     }
 }
 
-/// Runs an ingress of the platform on a listener, within a local task set.
+/// Runs an ingress of the platform on a listener, within a local task set; `ways` says where discovery and the
+/// counter are to be found from now on.
 pub async fn serve(
     config: Config,
     listener: TcpListener,
     log: Logger,
+    ways: watch::Receiver<Ways>,
     stop: impl Future<Output = ()> + 'static,
 ) -> io::Result<()> {
     // Polled from now on: a signal during the start is not missed.
@@ -147,12 +157,13 @@
     let Config { instance, discovery: agent, known } = config;
     let (site, generation) = (&instance.site, known.as_ref().map(|known| known.generation));
     let flows = instance.limits.connections()[0];
-    let mut core = Core::<Question, Answer>::start(&instance, known, flows, &log).await?;
+    let mut core = Core::<Question, Answer>::start(&instance, &ways, known, flows, &log).await?;
     let (deadlines, exchange, [clients, servers]) =
         (core.deadlines.clone(), core.exchange.clone(), core.most);
     let side = ClientSide::new(exchange.clone(), deadlines.clone(), site.clone(), servers, log.clone());
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
+    let agent = Way::new(&ways, agent, |ways| Some(ways.discovery));
     let discovery = Discovery { agent, site: site.clone(), deadlines: deadlines.clone(), log: log.clone() };
     let teller = core.teller();
     core.parts.spawn_local(discovery.run(generation, teller));
@@ -165,23 +176,26 @@
     core.serve(&instance, phase, taking, stop, log).await
 }
 
-/// Runs an instance of the authorisation front on a listener, within a local task set.
+/// Runs an instance of the authorisation front on a listener, within a local task set; `ways` says where Consul and
+/// the counter are to be found from now on.
 pub async fn serve_authz(
     config: AuthzConfig,
     listener: TcpListener,
     log: Logger,
+    ways: watch::Receiver<Ways>,
     stop: impl Future<Output = ()> + 'static,
 ) -> io::Result<()> {
     let stop = spawn_local(stop);
     let AuthzConfig { instance, consul, authz } = config;
     let site = &instance.site;
     let flows = instance.limits.connections()[0] * CHECKS;
-    let mut core = Core::<Check, Bytes>::start(&instance, None, flows, &log).await?;
+    let mut core = Core::<Check, Bytes>::start(&instance, &ways, None, flows, &log).await?;
     let (deadlines, exchange, [clients, _]) = (core.deadlines.clone(), core.exchange.clone(), core.most);
     let side = Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), log.clone());
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
-    let watch = Watch { consul, site: site.clone(), deadlines, log: log.clone() };
+    let agent = Way::new(&ways, consul.address, |ways| Some(ways.discovery));
+    let watch = Watch { agent, consul, site: site.clone(), deadlines, log: log.clone() };
     let teller = core.teller();
     core.parts.spawn_local(watch.run(teller));
     let (phase, mut phases) = watch::channel(Phase::Starting);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::{JoinHandle, spawn_local};
 use weldhub::config::Config;
 use weldhub::net::http::{Kind, Message};
@@ -47,7 +47,8 @@
     let at = listener.local_addr().unwrap();
     let (stop, stopped) = oneshot::channel();
     let stopped = async move { drop(stopped.await) };
-    let running = spawn_local(node::serve(config, listener, quiet(), stopped));
+    let (_ways, ways) = watch::channel(config.ways());
+    let running = spawn_local(node::serve(config, listener, quiet(), ways, stopped));
     while status(&get(at, "/ready").await) != 200 {}
     Ingress { at, stop, running }
 }
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,171 @@
+//! The program itself under SIGHUP: it reads its configuration again, moves, and never ends on it.
+
+mod stand_ins;
+
+use bytes::BytesMut;
+use serde_json::{Value, json};
+use stand_ins::*;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use weldhub::net::http::Kind;
+
+/// The program, its configuration and the lines of its log.
+struct Program {
+    child: Child,
+    file: PathBuf,
+    log: mpsc::UnboundedReceiver<String>,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+impl Program {
+    /// Starts it with this text as its file, and the environment of the platform or of the other front.
+    fn start(name: &str, text: &str, env: &[(&str, String)], authz: bool) -> Self {
+        let file = std::env::temp_dir().join(format!("weldhub-{}-{name}", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_weldhub"));
+        if authz {
+            command.arg("--ext-authz").arg(&file);
+        }
+        command.env("RELAY_CONFIG", &file).envs(env.iter().cloned()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let (lines, log) = mpsc::unbounded_channel();
+        let text = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || text.lines().map_while(Result::ok).try_for_each(|line| lines.send(line)));
+        Self { child, file, log }
+    }
+
+    /// Waits for a line of the log that says this.
+    async fn says(&mut self, what: &str) -> String {
+        loop {
+            let line = self.log.recv().await.unwrap_or_else(|| panic!("it ended without saying {what}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    async fn serving(&mut self) -> SocketAddr {
+        let line = self.says("serving").await;
+        line.split("listen: ").nth(1).unwrap().split(',').next().unwrap().trim().parse().unwrap()
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    fn reread(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("HUP");
+    }
+
+    async fn end(&mut self) -> ExitStatus {
+        while self.log.recv().await.is_some() {}
+        self.child.wait().unwrap()
+    }
+}
+
+fn told(agent: SocketAddr, known: Vec<Value>) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": agent.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": {"generation": 41, "reset": true, "instances": known},
+        "settings": {
+            "balancers": 1, "myNumber": 0, "zones": ["a"], "flavors": ["m"],
+            "limits": {"maxAttempts": 3, "cancelling": true, "maxRetryAfter": 1000.0},
+            "rules": {"coldFrom": 1.0, "cold": 1.0, "fallMultiple": 2.0, "overloadFor": 3000.0},
+            "classes": [{"name": "board-state", "aim": 600.0, "giveUp": 1500.0, "effect": "read_like"}],
+            "tariffs": [{"name": "club", "perSecond": 100.0, "storeSize": 100.0, "atOnce": 0,
+                "ceilingRate": 0.0, "neverOverDepth": 0.0}],
+        },
+    })
+}
+
+async fn ask(at: SocketAddr, id: &str) -> (u16, Vec<u8>) {
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    let text = format!(
+        "GET /board-state/1?client=0000000000000007 HTTP/1.1\r\nRequest-Id: {id}\r\nX-Tier: club\r\n\
+         Request-Timeout-Ms: 1400\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let answer = message(&mut stream, &mut BytesMut::new(), Kind::Response).await.unwrap();
+    (answer.head.status(), answer.body.to_vec())
+}
+
+/// Seen on a day of new configurations: the program had no handler, and ended on the first SIGHUP.
+#[test]
+fn a_new_configuration_moves_discovery_at_once_and_a_bad_one_changes_nothing() {
+    local(async {
+        let (one, two) = (RealServer::start(ok("one")).await, RealServer::start(ok("two")).await);
+        let (old, new) = (Agent::start().await, Agent::start().await);
+        let known = vec![service_entry("s1", one.at, 0, "in_service")];
+        let first = told(old.at, known.clone());
+        // The environment names the old address; that must not hold the program there.
+        let env = [("RELAY_DISCOVERY", old.at.to_string())];
+        let mut program = Program::start("platform", &first.to_string(), &env, false);
+        let at = program.serving().await;
+        until(|| old.asked.borrow().len() == 1).await;
+        program.reread("{\"discovery\":");
+        program.says("the new configuration cannot be used").await;
+        program.reread(&first.to_string().replace(&format!("\"{}\"", old.at), "\"nowhere\""));
+        program.says("discovery").await;
+        assert_eq!(ask(at, "a").await, (200, b"one".to_vec()));
+        assert_eq!((old.asked.borrow().len(), new.asked.borrow().len()), (1, 0));
+        program.reread(&told(new.at, known).to_string());
+        until(|| new.asked.borrow().len() == 1).await;
+        assert!(new.asked.borrow()[0].ends_with("&index=41"), "it goes on from the list that it has");
+        assert_eq!(ask(at, "b").await, (200, b"one".to_vec()), "the list is not lost meanwhile");
+        let (gone, come) =
+            (service_entry("s1", one.at, 0, "terminated"), service_entry("s2", two.at, 0, "in_service"));
+        new.say(42, false, vec![gone, come]);
+        let mut served = ask(at, "c").await;
+        for i in 0.. {
+            if served == (200, b"two".to_vec()) {
+                break;
+            }
+            served = ask(at, &format!("d{i}")).await;
+        }
+        // More than once, and near the end.
+        program.signal("TERM");
+        program.signal("HUP");
+        program.says("stopping").await;
+        program.signal("HUP");
+        assert!(program.end().await.success());
+    });
+}
+
+#[test]
+fn a_new_operators_file_moves_the_authorisation_front_to_another_consul() {
+    local(async {
+        let (old, new) = (Consul::start(vec![]).await, Consul::start(vec![]).await);
+        let file = |consul: SocketAddr| {
+            let text = include_str!("../deploy/ext-authz.toml");
+            let set = |line: &str| match line.split(" = ").next() {
+                Some("listen") => "listen = \"127.0.0.1:0\"".to_owned(),
+                Some("address") => format!("address = \"{consul}\""),
+                _ => line.to_owned(),
+            };
+            text.lines().map(set).collect::<Vec<_>>().join("\n")
+        };
+        let mut program = Program::start("authz", &file(old.at), &[], true);
+        until(|| !old.asked.borrow().is_empty()).await;
+        program.reread("consul = 1");
+        program.says("the new configuration cannot be used").await;
+        program.reread(&file(new.at));
+        until(|| !new.asked.borrow().is_empty()).await;
+        program.signal("TERM");
+        assert!(program.end().await.success());
+    });
+}
