Hold out against bad clients and overlong answers; bounds from the configuration

Now: first message within 2.5 s of connecting, later ones of their first byte; idle 5 s; connections without a whole message, older than 100 ms, make room first; 409 for an open id; read out until silent for 500 ms, 5 s at most, without looking at it; 1xx passed over, and an answer that goes on for ever cut, also in 1xx; unknown statuses end their connection; targets with bytes that no target holds get 400. Shares of the descriptors less a reserve, and a budget of bytes in place of a worst case for each connection.

--- a/src/config.rs
+++ b/src/config.rs
@@ -331,11 +331,19 @@
 const LEAST: Limits = Limits { memory_mb: 32, sockets: 64 };
 /// What it takes where nothing is told: the limits of scored days.
 const USUAL: Limits = Limits { memory_mb: 192, sockets: 1024 };
-/// Client connections get this share of the descriptors, real servers' connections this; the rest is reserve
-/// for listeners, discovery, the counter, peers and the runtime.
-const SHARES: [f64; 2] = [0.55, 0.35];
-/// What a connection may hold at the most: a message with its head, twice.
-const CONNECTION_BYTES: usize = 2 * 80 * 1024;
+/// Descriptors kept for the listener, discovery, the counter, peers, signals, the log and the runtime, each of them
+/// twice while one takes another's place.
+const RESERVE: usize = 16;
+/// Of the others client connections get the first share, those whose flows are turned away the second, connections
+/// to real servers the third. Clients hold at most a third of all for flows: there is room for those, for others
+/// beside them, and for a connection to a real server for each.
+const SHARES: [f64; 3] = [0.45, 0.07, 0.45];
+/// What an open connection takes beside its message: its task, what is read ahead, and what is kept of its flow.
+const CONNECTION_BYTES: usize = 16 * 1024;
+/// The part of the memory that messages may take which clients send, and that those may which real servers send.
+const MESSAGES: f64 = 1.0 / 6.0;
+/// What a connection of the authorisation front may hold at the most: its window, and a check at work.
+const CHECK_BYTES: usize = 2 * 80 * 1024;
 
 impl Limits {
     fn read(pairs: &Pairs, prefix: &str) -> Result<Self, ConfigError> {
@@ -350,11 +358,21 @@
         Ok(Self { memory_mb, sockets: at_least("sockets", USUAL.sockets, LEAST.sockets)? })
     }
 
-    /// The most connections of clients and to real servers: both what descriptors and what memory allows, with
-    /// half the memory left for all else.
-    pub fn connections(&self) -> [usize; 2] {
-        let by_memory = (self.memory_mb << 20) / 2 / CONNECTION_BYTES;
-        SHARES.map(|share| ((self.sockets.min(by_memory) as f64) * share) as usize)
+    /// The most connections of clients, of such to be turned away, and to real servers: what descriptors and a
+    /// third of the memory allow.
+    pub fn connections(&self) -> [usize; 3] {
+        let by_memory = (self.memory_mb << 20) / 3 / CONNECTION_BYTES;
+        SHARES.map(|share| ((self.sockets - RESERVE).min(by_memory) as f64 * share) as usize)
+    }
+
+    /// The most connections of the authorisation front's callers.
+    pub fn callers(&self) -> usize {
+        self.connections()[0].min((self.memory_mb << 20) / 4 / CHECK_BYTES)
+    }
+
+    /// Bytes of messages that all connections of one side may hold.
+    pub fn messages(&self) -> usize {
+        ((self.memory_mb << 20) as f64 * MESSAGES) as usize
     }
 }
 
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -27,7 +27,9 @@
     let head = &message.head;
     let (method, target) = head.request_line();
     let bad = |text: &'static str| move || (400, text);
-    let text = std::str::from_utf8(target).map_err(|_| (400, "the target is no text"))?;
+    // Prevents a real server, which closes on what it cannot read, from being sent bytes that no target holds.
+    let plain = target.iter().all(|b| b.is_ascii_graphic() && !b"\"#<>\\^`{|}".contains(b));
+    let text = std::str::from_utf8(target).ok().filter(|_| plain).ok_or((400, "the target is no target"))?;
     let (path, query) = text.split_once('?').unwrap_or((text, ""));
     if path == "/ready" {
         return if method == b"GET" { Ok(Asked::Ready) } else { Err((405, "/ready takes GET")) };
@@ -71,18 +73,24 @@
     };
     let length = message.body.len();
     let mut passed = BytesMut::with_capacity(target.len() + id.len() + key.map_or(0, <[u8]>::len) + 128);
-    let parts: [&[u8]; 6] = [method, b" ", target, b" HTTP/1.1\r\nRequest-Id: ", id, b"\r\n"];
-    parts.into_iter().for_each(|part| passed.put_slice(part));
+    [method, b" ", target, b" HTTP/1.1\r\nRequest-Id: "]
+        .into_iter()
+        .for_each(|part: &[u8]| passed.put_slice(part));
+    let at = passed.len()..passed.len() + id.len();
+    [id, b"\r\n"].into_iter().for_each(|part: &[u8]| passed.put_slice(part));
     if let Some(key) = key {
         [b"Idempotency-Key: ", key, b"\r\n"].into_iter().for_each(|part: &[u8]| passed.put_slice(part));
     }
-    if let Some(kind) = head.get("content-type").filter(|_| length > 0) {
+    let text = |kind: &&[u8]| length > 0 && kind.iter().all(|b| matches!(b, b' '..=b'~'));
+    if let Some(kind) = head.get("content-type").filter(text) {
         [b"Content-Type: ", kind, b"\r\n"].into_iter().for_each(|part: &[u8]| passed.put_slice(part));
     }
     if !safe {
         passed.put_slice(format!("Content-Length: {length}\r\n").as_bytes());
     }
-    Ok(Asked::Flow(terms, Question { head: passed.freeze(), body: Bytes::clone(&message.body) }))
+    let passed = passed.freeze();
+    let id = passed.slice(at);
+    Ok(Asked::Flow(terms, Question { head: passed, body: Bytes::clone(&message.body) }, id))
 }
 
 /// Whether a value can be passed on as an id or a key.
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,66 @@
+//! A bound on the bytes of messages that many connections hold together: each may hold a whole message, but all of
+//! them at once must not take the memory.
+
+use std::cell::Cell;
+
+/// A message of up to this many bytes always fits: the number of connections bounds these.
+const SMALL: usize = 8 * 1024;
+
+/// The bytes that all may hold together.
+#[derive(Debug)]
+pub struct Budget {
+    most: usize,
+    held: Cell<usize>,
+}
+
+/// What one holds of a budget; given back when dropped.
+#[derive(Debug)]
+pub struct Held<'a> {
+    budget: &'a Budget,
+    bytes: usize,
+}
+
+impl Budget {
+    /// A budget of this many bytes.
+    pub fn new(most: usize) -> Self {
+        Self { most, held: Cell::new(0) }
+    }
+
+    /// A holder of nothing yet.
+    pub fn hold(&self) -> Held<'_> {
+        Held { budget: self, bytes: 0 }
+    }
+}
+
+impl Held<'_> {
+    /// Holds this many bytes in all from now on; false where they do not fit beside those of the others.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let all = self.budget.held.get() - self.bytes + bytes;
+        let fits = bytes <= SMALL || all <= self.budget.most;
+        if fits {
+            self.budget.held.set(all);
+            self.bytes = bytes;
+        }
+        fits
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.budget.held.set(self.budget.held.get() - self.bytes);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn large_messages_fit_while_others_leave_room_and_small_ones_always_do() {
+        let budget = Budget::new(100_000);
+        let (mut one, mut two) = (budget.hold(), budget.hold());
+        assert!(one.grow(60_000) && one.grow(70_000) && !two.grow(40_000) && two.grow(8000));
+        drop(one);
+        assert!(two.grow(100_000) && !two.grow(100_001));
+    }
+}
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -1,7 +1,8 @@
 //! The client side: carries schedulings to real servers over pools of connections, one at a time on each, and
 //! reports how each ended, once. Nothing is ever sent a second time here.
 
-use super::http::{Bad, Head, Kind, Message, take_message};
+use super::budget::Budget;
+use super::http::{Bad, Head, Kind, MESSAGE, Message, take_message};
 use super::schedulings::{Ending, Job, Pool, Schedulings, Stage};
 use super::stream::{connect, read_more};
 use crate::config::Site;
@@ -10,8 +11,11 @@
 use crate::interface::*;
 use bytes::{Bytes, BytesMut};
 use slog::{Logger, debug};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -50,6 +54,7 @@
     schedulings: Schedulings<Question, Answer, Idle>,
     open: Cell<usize>,
     most: usize,
+    budget: Budget,
     deadlines: Deadlines,
     site: Site,
     log: Logger,
@@ -60,10 +65,16 @@
 pub struct ClientSide(Rc<Inner>);
 
 impl ClientSide {
-    /// A client side that opens this many connections at the most.
-    pub fn new(exchange: Flows, deadlines: Deadlines, site: Site, most: usize, log: Logger) -> Self {
+    /// A client side that opens this many connections at the most, whose answers fit a budget.
+    pub fn new(
+        exchange: Flows,
+        deadlines: Deadlines,
+        site: Site,
+        (most, budget): (usize, Budget),
+        log: Logger,
+    ) -> Self {
         let (schedulings, open) = (Schedulings::new(exchange), Cell::new(0));
-        Self(Rc::new(Inner { schedulings, open, most, deadlines, site, log }))
+        Self(Rc::new(Inner { schedulings, open, most, budget, deadlines, site, log }))
     }
 
     /// Carries out orders until there are no more.
@@ -88,7 +99,8 @@
         let at = pool.at;
         if this.open.get() >= this.most && !evict(&mut pools) {
             debug!(this.log, "no descriptor for a connection to a real server"; "real_server" => %at);
-            return this.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed));
+            // Prevents a real server from being taken for unreachable for want of room here: nothing was sent.
+            return this.schedulings.ended(job.id, Ending::badly(Outcome::Full));
         }
         this.open.set(this.open.get() + 1);
         spawn_local(connection(Open(this.clone()), server, at, job));
@@ -144,7 +156,7 @@
         let (ending, reusable) = tokio::select! {
             biased;
             _ = &mut job.given_up => return,
-            went = carry(&mut stream, &mut buffer, at, &job.question, job.wait, &job.stage, &side.site) => went,
+            went = side.carry(&mut stream, &mut buffer, at, (&job.question, job.wait, &job.stage)) => went,
         };
         let next = if reusable { side.park(server, at) } else { None };
         side.schedulings.ended(id, ending);
@@ -154,10 +166,12 @@
             // The real server closes it, or says what nobody asked.
             _ = read_more(&mut stream, &mut buffer) => {}
             coming = &mut next => match coming {
-                Ok(coming) => {
+                Ok(coming) if quiet(&stream) => {
                     job = coming;
                     continue;
                 }
+                // Prevents what came behind the last answer from being taken for the next flow's.
+                Ok(coming) => return Inner::start(&side, server, coming),
                 Err(_) => return,
             },
             () = side.deadlines.sleep(side.site.conn_idle * IDLE_PART) => {}
@@ -171,38 +185,51 @@
     }
 }
 
-/// Writes a question and reads its answer.
-async fn carry(
-    stream: &mut TcpStream,
-    buffer: &mut BytesMut,
-    at: SocketAddr,
-    question: &Question,
-    wait: Millis,
-    stage: &Cell<Stage>,
-    site: &Site,
-) -> Went {
-    let rest = format!("Host: {at}\r\nRequest-Timeout-Ms: {}\r\n\r\n", wait.max(1.0) as u64);
-    let mut bytes = BytesMut::with_capacity(question.head.len() + rest.len() + question.body.len());
-    bytes.extend_from_slice(&question.head);
-    bytes.extend_from_slice(rest.as_bytes());
-    bytes.extend_from_slice(&question.body);
-    stage.set(Stage::Writing);
-    if stream.write_all(&bytes).await.is_err() {
-        return badly(Outcome::ConnectFailed);
-    }
-    stage.set(Stage::Written);
-    loop {
-        let ended = match read_more(stream, buffer).await {
-            Ok(more) => !more,
-            Err(_) => return badly(Outcome::Reset),
-        };
-        match take_message(buffer, Kind::Response, ended) {
-            Ok(Some(message)) => return judge(message, buffer.is_empty(), site),
-            Ok(None) if ended => return badly(Outcome::Reset),
-            Ok(None) => {}
-            // Garbage, or more than a body may hold: it may have run.
-            Err(Bad::Malformed | Bad::BodyTooLarge | Bad::HeadTooLarge) => {
-                return badly(Outcome::Error);
+/// Whether nothing has come on an idle connection, asked of the system itself: the runtime may not have seen yet
+/// what came since it last waited.
+fn quiet(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
+impl Inner {
+    /// Writes a question and reads its answer.
+    async fn carry(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        at: SocketAddr,
+        (question, wait, stage): (&Question, Millis, &Cell<Stage>),
+    ) -> Went {
+        let wait = wait.max(1.0) as u64;
+        let rest = format!("Host: {at}\r\nRequest-Timeout-Ms: {wait}\r\n\r\n");
+        let mut bytes = BytesMut::with_capacity(question.head.len() + rest.len() + question.body.len());
+        bytes.extend_from_slice(&question.head);
+        bytes.extend_from_slice(rest.as_bytes());
+        bytes.extend_from_slice(&question.body);
+        stage.set(Stage::Writing);
+        if stream.write_all(&bytes).await.is_err() {
+            return badly(Outcome::ConnectFailed);
+        }
+        drop(bytes);
+        stage.set(Stage::Written);
+        let (mut held, mut read) = (self.budget.hold(), 0);
+        loop {
+            let before = buffer.len();
+            let ended = match read_more(stream, buffer).await {
+                Ok(more) => !more,
+                Err(_) => return badly(Outcome::Reset),
+            };
+            read += buffer.len() - before;
+            match take_message(buffer, Kind::Response, ended) {
+                Ok(Some(message)) => return judge(message, buffer.is_empty(), &self.site),
+                Ok(None) if ended => return badly(Outcome::Reset),
+                // Prevents answers that go on for ever, if only ahead of themselves, from taking time or memory.
+                Ok(None) if read <= MESSAGE && held.grow(buffer.len()) => {}
+                // Garbage, or more than fits: it may have run.
+                Ok(None) | Err(Bad::Malformed | Bad::BodyTooLarge | Bad::HeadTooLarge) => {
+                    return badly(Outcome::Error);
+                }
             }
         }
     }
@@ -218,7 +245,9 @@
     };
     let content_type = head.get("content-type").map(Bytes::copy_from_slice);
     let load = load(head, &site.load_names);
-    let reusable = !head.close && nothing_left;
+    // A status that no real server has to give is garbage: nobody knows what follows it.
+    let known = matches!(head.status(), 200 | 500 | 503 | 504);
+    let reusable = !head.close && nothing_left && known;
     let answer = (outcome == Outcome::Served).then_some(Answer { body: message.body, content_type });
     (Ending { outcome, load, answer }, reusable)
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -234,7 +234,14 @@
 /// Takes a whole message off the front of the buffer; none where more must come. `ended` tells that nothing
 /// will.
 pub fn take_message(buffer: &mut BytesMut, kind: Kind, ended: bool) -> Result<Option<Message>, Bad> {
-    let Some((head, length)) = peek_head(buffer, kind)? else { return Ok(None) };
+    let (head, length) = loop {
+        match peek_head(buffer, kind)? {
+            None => return Ok(None),
+            // What a server says ahead of its answer is no answer; 101 would leave HTTP, which nobody asked for.
+            Some((head, length)) if matches!(head.status(), 100 | 102..200) => drop(buffer.split_to(length)),
+            Some(found) => break found,
+        }
+    };
     let body = match head.framing {
         Framing::Length(n) if buffer.len() >= length + n => {
             let mut whole = buffer.split_to(length + n);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The network code: who talks with clients, real servers, discovery, the counter and the peers. It carries out
 //! and decides nothing.
 
+pub mod budget;
 pub mod client_side;
 pub mod counter;
 pub mod discovery;
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -1,16 +1,18 @@
 //! The server side: takes flows in from clients over HTTP/1.1, awaits their verdicts at the exchange and writes
 //! the answers. What a flow means is read by the front, in `fronts::platform`.
 
+use super::budget::{Budget, Held};
 use super::client_side::{Answer, Question};
-use super::http::{Bad, Kind, MESSAGE, Message, take_message};
+use super::http::{Bad, HEAD, Kind, Message, take_message};
 use super::stream::read_more;
 use crate::deadlines::Deadlines;
 use crate::exchange::{Exchange, Terms, Verdict};
 use crate::interface::Millis;
-use bytes::{BufMut, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -18,21 +20,27 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 
-/// A client's connection is closed when idle for this long, or when a message takes this long to come in.
-const IDLE: Millis = 60_000.0;
-const SLOW: Millis = 10_000.0;
+/// A client's connection is closed when idle for this long: many ask once and stay.
+const IDLE: Millis = 5000.0;
+/// A client's first message is to be whole so long after it has connected, any other after its first byte. Bad
+/// clients are owed an error or a close within 3 s, silence included.
+const SLOW: Millis = 2500.0;
 /// A client that takes no bytes of its answer for this long is done without.
 const STALLED: Millis = 5000.0;
-/// So far below the most idle connections begin to be closed for new ones.
+/// After its last answer a connection is read out until it is silent for the first, at the most for the second.
+const LINGER: [Millis; 2] = [500.0, 5000.0];
+/// Nothing is sent this fast but by the way: what has no whole message after this may be closed for new ones.
+const YOUNG: Millis = 100.0;
+/// So far below the most spare connections begin to be closed for new ones.
 const HEADROOM: usize = 4;
-/// Connections beyond the most that are still taken, for turning their flows away.
-const TURNED_AWAY: usize = 24;
+/// Bytes read out at a time.
+const SCRATCH: usize = 64 * 1024;
 
 /// What the front makes of a message.
 #[derive(Debug)]
 pub enum Asked {
-    /// A flow.
-    Flow(Terms, Question),
+    /// A flow, and its id.
+    Flow(Terms, Question, Bytes),
     /// Whether the program is ready.
     Ready,
     /// It is answered with this status: no flow, or one that cannot be read.
@@ -64,16 +72,40 @@
     exchange: Exchange<Question, Answer>,
     deadlines: Deadlines,
     phase: watch::Receiver<Phase>,
-    most: usize,
+    room: Room,
     retry_after: Millis,
     open: Cell<usize>,
     closed: Notify,
-    /// Idle connections, oldest first; one is closed by dropping its sender.
-    idle: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
+    /// Connections that may be closed for others, those that never brought a flow first, then the oldest; one is
+    /// closed by dropping its sender.
+    spare: RefCell<BTreeMap<(bool, u64), Spare>>,
     turns: Cell<u64>,
+    /// The ids of the flows that are open.
+    ids: RefCell<HashSet<Bytes>>,
+    /// Where bytes go that nobody wants.
+    scratch: RefCell<Vec<u8>>,
     log: Logger,
 }
 
+/// What the server side may hold.
+#[derive(Debug)]
+pub struct Room {
+    /// Connections whose flows are taken.
+    pub connections: usize,
+    /// Connections beyond these, for turning their flows away.
+    pub turned_away: usize,
+    /// Bytes of messages.
+    pub budget: Budget,
+}
+
+#[derive(Debug)]
+struct Spare {
+    since: Millis,
+    /// Nothing of a message has come.
+    idle: bool,
+    _close: oneshot::Sender<()>,
+}
+
 impl<F: Fn(&Message) -> Asked + 'static> ServerSide<F> {
     /// A server side that reads messages by `read` and holds `most` connections.
     pub fn new(
@@ -81,33 +113,52 @@
         exchange: Exchange<Question, Answer>,
         deadlines: Deadlines,
         phase: watch::Receiver<Phase>,
-        (most, retry_after): (usize, Millis),
+        (room, retry_after): (Room, Millis),
         log: Logger,
     ) -> Self {
-        let (open, closed, idle, turns) = Default::default();
-        let shared =
-            Shared { read, exchange, deadlines, phase, most, retry_after, open, closed, idle, turns, log };
-        Self { shared: Rc::new(shared) }
+        let (open, closed, spare, turns, ids) = Default::default();
+        let scratch = RefCell::new(vec![0; SCRATCH]);
+        Self {
+            shared: Rc::new(Shared {
+                read,
+                exchange,
+                deadlines,
+                phase,
+                room,
+                retry_after,
+                open,
+                closed,
+                spare,
+                turns,
+                ids,
+                scratch,
+                log,
+            }),
+        }
     }
 
     /// Takes connections in until it drains and the last one is closed.
     pub async fn run(self, listener: TcpListener) {
         let shared = self.shared;
         let mut phase = shared.phase.clone();
-        let hard = shared.most + TURNED_AWAY;
+        let hard = shared.room.connections + shared.room.turned_away;
         loop {
-            if shared.open.get() + HEADROOM >= shared.most {
-                // The oldest idle connection makes room: between flows it may be closed.
-                drop(shared.idle.borrow_mut().pop_first());
+            let crowded = shared.crowded();
+            if crowded > 0 && shared.make_room(crowded) {
+                // They close before others are taken.
+                tokio::task::yield_now().await;
             }
             tokio::select! {
                 // Prevents a flood of connections from using up the descriptors kept for real servers.
-                accepted = listener.accept(), if shared.open.get() < hard => match accepted {
+                // Nor are flows turned away while room is soon to be had.
+                accepted = listener.accept(), if shared.open.get() < hard && !shared.waits() => match accepted {
                     Ok((stream, _)) => {
                         let _ = stream.set_nodelay(true);
-                        let full = shared.open.get() >= shared.most;
+                        let full = shared.open.get() >= shared.room.connections;
                         shared.open.set(shared.open.get() + 1);
-                        spawn_local(Connection { shared: shared.clone(), full }.run(stream));
+                        let connected = shared.deadlines.clock().now();
+                        let (flows, shared) = (Cell::new(false), shared.clone());
+                        spawn_local(Connection { shared, full, connected, flows }.run(stream));
                     }
                     Err(e) => {
                         warn!(shared.log, "a connection could not be accepted"; "error" => %e);
@@ -115,11 +166,13 @@
                     }
                 },
                 () = shared.closed.notified(), if shared.open.get() >= hard => {}
+                // The spare ones of now are old enough then.
+                () = shared.deadlines.sleep(YOUNG / 4.0), if crowded > 0 => {}
                 _ = phase.wait_for(|phase| *phase == Phase::Draining) => break,
             }
         }
         drop(listener);
-        shared.idle.borrow_mut().clear();
+        shared.spare.borrow_mut().retain(|_, spare| !spare.idle);
         info!(shared.log, "draining"; "connections" => shared.open.get());
         while shared.open.get() > 0 {
             shared.closed.notified().await;
@@ -127,11 +180,60 @@
     }
 }
 
+impl<F> Shared<F> {
+    /// How many connections too many are open for taking the next ones with some headroom.
+    fn crowded(&self) -> usize {
+        (self.open.get() + HEADROOM).saturating_sub(self.room.connections)
+    }
+
+    /// Closes up to `many` spare connections: between messages, and before a whole one, they may be closed. Prevents
+    /// those who connect and say nothing, or half of it, from crowding out usual clients; what has only just come may
+    /// be one of these, and so are those that are idle after a flow, which go only where no other is spare.
+    fn make_room(&self, many: usize) -> bool {
+        let (mut spare, old) = (self.spare.borrow_mut(), self.deadlines.clock().now() - YOUNG);
+        let before = spare.len();
+        for _ in 0..many {
+            match spare.first_entry() {
+                Some(first) if first.key().0 || first.get().since < old => drop(first.remove()),
+                _ => break,
+            }
+        }
+        spare.len() < before
+    }
+
+    /// Whether the table is full, and connections are open that will be old enough for being closed in a moment.
+    fn waits(&self) -> bool {
+        let first = self.spare.borrow().first_key_value().is_some_and(|((flows, _), _)| !flows);
+        first && self.open.get() >= self.room.connections
+    }
+
+    /// Lists a connection as spare; it is to be closed when this resolves.
+    fn spare(&self, (flows, idle): (bool, bool), since: Millis) -> ((bool, u64), oneshot::Receiver<()>) {
+        let (_close, closing) = oneshot::channel();
+        let place = (flows, self.turns.get());
+        self.turns.set(place.1 + 1);
+        self.spare.borrow_mut().insert(place, Spare { since, idle, _close });
+        (place, closing)
+    }
+}
+
 /// A client's connection.
 struct Connection<F> {
     shared: Rc<Shared<F>>,
     /// It came when there was no room: its flow is turned away.
     full: bool,
+    connected: Millis,
+    /// It has brought a flow.
+    flows: Cell<bool>,
+}
+
+/// An open flow's id.
+struct Id<'a, F>(&'a Shared<F>, Bytes);
+
+impl<F> Drop for Id<'_, F> {
+    fn drop(&mut self) {
+        self.0.ids.borrow_mut().remove(&self.1);
+    }
 }
 
 impl<F> Drop for Connection<F> {
@@ -143,10 +245,11 @@
 
 impl<F: Fn(&Message) -> Asked> Connection<F> {
     async fn run(self, mut stream: TcpStream) {
-        let (mut buffer, mut out) = (BytesMut::new(), BytesMut::new());
+        let (mut buffer, mut out, mut first) = (BytesMut::new(), BytesMut::new(), true);
         loop {
             out.clear();
-            let again = match self.next(&mut stream, &mut buffer).await {
+            let mut held = self.shared.room.budget.hold();
+            let again = match self.next(&mut stream, &mut buffer, &mut held, first).await {
                 Ok(Some(message)) => {
                     let Some(close) = self.answer(&message, &mut stream, &mut buffer, &mut out).await else {
                         return;
@@ -155,43 +258,61 @@
                 }
                 Ok(None) => return,
                 Err((status, text)) => {
-                    plain(&mut out, status, text, None, true);
+                    let after = (status == 503).then_some(self.shared.retry_after);
+                    plain(&mut out, status, text, after, true);
                     false
                 }
             };
+            drop(held);
             match self.shared.deadlines.within(STALLED, stream.write_all(&out)).await {
-                Some(Ok(())) if again => {}
+                Some(Ok(())) if again => first = false,
                 Some(Ok(())) => {
                     let _ = stream.shutdown().await;
-                    return self.linger(stream, buffer).await;
+                    drop((buffer, out));
+                    return self.linger(stream).await;
                 }
                 _ => return,
             }
         }
     }
 
-    /// Reads on for a moment after the last answer: prevents a reset from overtaking it.
-    async fn linger(&self, mut stream: TcpStream, mut buffer: BytesMut) {
+    /// Reads on after the last answer, whatever still comes: prevents a reset from overtaking it. Nothing of it is
+    /// looked at.
+    async fn linger(&self, stream: TcpStream) {
+        let shared = &self.shared;
+        let now = shared.deadlines.clock().now();
+        let (place, closing) = shared.spare((false, false), now);
         let read_out = async {
-            while let Ok(true) = read_more(&mut stream, &mut buffer).await {
-                buffer.clear();
+            while let Some(Ok(())) = shared.deadlines.within(LINGER[0], stream.readable()).await {
+                match stream.try_read(&mut shared.scratch.borrow_mut()) {
+                    Ok(0) => return,
+                    Ok(_) => {}
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
             }
         };
-        self.shared.deadlines.within(200.0, read_out).await;
+        tokio::select! {
+            _ = shared.deadlines.within(LINGER[1], read_out) => {}
+            _ = closing => {}
+        }
+        shared.spare.borrow_mut().remove(&place);
     }
 
     fn draining(&self) -> bool {
         *self.shared.phase.borrow() == Phase::Draining
     }
 
-    /// The next whole message; none where the connection ends between messages.
+    /// The next whole message; none where the connection ends between messages, or is closed there.
     async fn next(
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
+        held: &mut Held<'_>,
+        first: bool,
     ) -> Result<Option<Message>, (u16, &'static str)> {
         let shared = &self.shared;
-        let mut slow = None;
+        let mut began = if first { Some(self.connected) } else { None };
         loop {
             match take_message(buffer, Kind::Request, false) {
                 Ok(Some(message)) => return Ok(Some(message)),
@@ -200,36 +321,47 @@
                 Err(Bad::BodyTooLarge) => return Err((413, "the body is larger than 64 KiB")),
                 Err(Bad::HeadTooLarge) => return Err((431, "the head is too large")),
             }
-            if buffer.is_empty() {
-                let (close, closing) = oneshot::channel();
-                let turn = shared.turns.get();
-                shared.turns.set(turn + 1);
-                // While draining it is dropped at once: only what has come already is still read.
-                if !self.draining() {
-                    shared.idle.borrow_mut().insert(turn, close);
-                } else {
-                    drop(close);
-                }
-                let more = tokio::select! {
-                    biased;
-                    more = read_more(stream, buffer) => more.unwrap_or(false),
-                    _ = closing => false,
-                    () = shared.deadlines.sleep(IDLE) => false,
-                };
-                shared.idle.borrow_mut().remove(&turn);
-                if !more {
-                    return Ok(None);
+            let (now, idle) = (shared.deadlines.clock().now(), buffer.is_empty());
+            if idle {
+                // Prevents idle connections from holding memory.
+                *buffer = BytesMut::new();
+            } else if !held.grow(buffer.len()) {
+                return Err((503, "no room"));
+            }
+            let ends = match (idle, began) {
+                (true, None) => now + IDLE,
+                _ => *began.get_or_insert(now) + SLOW,
+            };
+            // A message that has begun on a connection that brought flows is a usual client's.
+            let spared = if idle { !self.draining() } else { !self.flows.get() };
+            let mut spare = spared.then(|| shared.spare((self.flows.get(), idle), began.unwrap_or(0.0)));
+            let closing = async {
+                match &mut spare {
+                    Some((_, closing)) => drop(closing.await),
+                    // While draining only what has come already is still read.
+                    None if idle => {}
+                    None => std::future::pending().await,
                 }
-            } else {
-                let slow = slow.get_or_insert_with(|| Box::pin(shared.deadlines.sleep(SLOW)));
-                tokio::select! {
-                    biased;
-                    more = read_more(stream, buffer) => match more {
-                        Ok(true) => {}
-                        _ => return Ok(None),
-                    },
-                    () = slow => return Err((408, "the request took too long to come in")),
+            };
+            let more = async {
+                if idle {
+                    stream.readable().await?;
                 }
+                read_more(stream, buffer).await
+            };
+            let more = tokio::select! {
+                biased;
+                more = more => Some(more.unwrap_or(false)),
+                () = closing => None,
+                () = shared.deadlines.sleep(ends - now) => None,
+            };
+            if let Some((place, _)) = spare {
+                shared.spare.borrow_mut().remove(&place);
+            }
+            match more {
+                Some(true) => {}
+                None if !idle => return Err((408, "the request took too long to come in")),
+                _ => return Ok(None),
             }
         }
     }
@@ -262,15 +394,23 @@
                 plain(out, 503, "no room", Some(shared.retry_after), true);
                 Some(true)
             }
-            Asked::Flow(terms, question) => {
+            Asked::Flow(terms, question, id) => {
+                // Prevents a client from taking another's answer, and one id from being out twice.
+                if !shared.ids.borrow_mut().insert(id.clone()) {
+                    let close = closes(false);
+                    plain(out, 409, "the id is that of an open flow", None, close);
+                    return Some(close);
+                }
+                let _id = Id(shared, id);
+                self.flows.set(true);
                 let mut waiting = shared.exchange.arrive(terms, question);
                 let verdict = loop {
                     tokio::select! {
                         biased;
                         verdict = &mut waiting => break verdict,
-                        // A client that ends its connection has left; dropping `waiting` says so. A next message
-                        // that comes early waits.
-                        more = read_more(stream, buffer), if buffer.len() < MESSAGE => {
+                        // A client that ends its connection has left; dropping `waiting` says so. What comes early
+                        // waits, and no more of it is taken in than a head may hold.
+                        more = read_more(stream, buffer), if buffer.len() < HEAD => {
                             if !more.unwrap_or(false) {
                                 return None;
                             }
@@ -298,6 +438,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -17,7 +17,8 @@
 
 /// Reads what has come into the buffer; false at the end of the stream.
 pub async fn read_more(stream: &mut (impl AsyncReadExt + Unpin), buffer: &mut BytesMut) -> io::Result<bool> {
-    buffer.reserve(2048);
+    // A message that goes on is read in growing pieces: it is looked at again for each.
+    buffer.reserve(buffer.len().clamp(2048, 32 * 1024));
     Ok(stream.read_buf(buffer).await? > 0)
 }
 
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -54,7 +54,7 @@
     Request-Timeout-Ms: 1\r\nX-Call-Terms: first=0,units=1,spread=1\r\n\r\n\
     POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA;ext=1\r\n0123456789\r\n0\r\nT: 1\r\n\r\n";
 const RESPONSES: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nServer-Load: inflight=1\r\n\r\nabc\
-    HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 503 X\r\nNot-Started: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n\
+    HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 503 X\r\nNot-Started: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n\
     HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 #[test]
@@ -161,9 +161,10 @@
         platform::read(&message, &site)
     };
     let sound = String::from_utf8(REQUESTS.to_vec()).unwrap();
-    let Asked::Flow(terms, question) = read(sound.as_bytes()) else { panic!("the first is a flow") };
+    let Asked::Flow(terms, question, id) = read(sound.as_bytes()) else { panic!("the first is a flow") };
     assert_eq!((terms.units, terms.spread, terms.first.0, terms.left), (2.0, 3, 1, 480.0));
     assert_eq!((terms.class.0, terms.plan.0, terms.customer.0), (1, 0, 0xb4d6_5521));
+    assert_eq!(id, "9b1f03aa5c7e2d41");
     let head = String::from_utf8(question.head.to_vec()).unwrap();
     let passed = "POST /move-submit/a?client=00000000b4d65521 HTTP/1.1\r\nRequest-Id: 9b1f03aa5c7e2d41\r\n\
         Idempotency-Key: 5c0f\r\nContent-Length: 5\r\n";
@@ -171,6 +172,8 @@
     let wrong = [
         ("POST", "GET", 405),
         ("/move-submit/a", "/checkout", 404),
+        ("/move-submit/a", "/move-submit/\u{e4}", 400),
+        ("/move-submit/a", "/move-submit/\"", 400),
         ("client=00000000b4d65521", "client=b4d65521", 400),
         ("client=00000000b4d65521", "client=00000002b4d65521", 400),
         ("client=00000000b4d65521", "client=00000000b4d65521&client=0000000000000001", 400),
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,11 +10,12 @@
 use crate::fronts::ext_authz::{Check, Front};
 use crate::fronts::platform;
 use crate::interface::Millis;
+use crate::net::budget::Budget;
 use crate::net::client_side::{Answer, ClientSide, Question};
 use crate::net::counter::Counter;
 use crate::net::discovery::{Discovery, List};
 use crate::net::peers::Peers;
-use crate::net::server_side::{Phase, ServerSide};
+use crate::net::server_side::{Phase, Room, ServerSide};
 use crate::net::stream::Way;
 use crate::state::Limiter;
 use bytes::Bytes;
@@ -48,8 +49,6 @@
     orders: mpsc::UnboundedReceiver<Order<Q>>,
     /// The parts without which an instance is none.
     parts: JoinSet<()>,
-    /// The most connections of clients and to real servers.
-    most: [usize; 2],
     longest: Millis,
     told: watch::Sender<bool>,
 }
@@ -98,7 +97,6 @@
             exchange,
             orders: ordered,
             parts,
-            most: instance.limits.connections(),
             longest: site.classes.iter().map(|class| class.give_up).fold(0.0, f64::max),
             told: watch::Sender::new(false),
         })
@@ -156,11 +154,12 @@
     let stop = spawn_local(stop);
     let Config { instance, discovery: agent, known } = config;
     let (site, generation) = (&instance.site, known.as_ref().map(|known| known.generation));
-    let flows = instance.limits.connections()[0];
+    let [flows, turned_away, servers] = instance.limits.connections();
+    let budget = || Budget::new(instance.limits.messages());
     let mut core = Core::<Question, Answer>::start(&instance, &ways, known, flows, &log).await?;
-    let (deadlines, exchange, [clients, servers]) =
-        (core.deadlines.clone(), core.exchange.clone(), core.most);
-    let side = ClientSide::new(exchange.clone(), deadlines.clone(), site.clone(), servers, log.clone());
+    let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
+    let room = (servers, budget());
+    let side = ClientSide::new(exchange.clone(), deadlines.clone(), site.clone(), room, log.clone());
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
     let agent = Way::new(&ways, agent, |ways| Some(ways.discovery));
@@ -168,10 +167,10 @@
     let teller = core.teller();
     core.parts.spawn_local(discovery.run(generation, teller));
     let (phase, phases) = watch::channel(Phase::Starting);
-    let room = (clients, site.max_retry_after);
+    let room = Room { connections: flows, turned_away, budget: budget() };
     let reader = site.clone();
     let read = move |message: &_| platform::read(message, &reader);
-    let side = ServerSide::new(read, exchange, deadlines, phases, room, log.clone());
+    let side = ServerSide::new(read, exchange, deadlines, phases, (room, site.max_retry_after), log.clone());
     let taking = spawn_local(side.run(listener));
     core.serve(&instance, phase, taking, stop, log).await
 }
@@ -188,9 +187,10 @@
     let stop = spawn_local(stop);
     let AuthzConfig { instance, consul, authz } = config;
     let site = &instance.site;
-    let flows = instance.limits.connections()[0] * CHECKS;
+    let clients = instance.limits.callers();
+    let flows = clients * CHECKS;
     let mut core = Core::<Check, Bytes>::start(&instance, &ways, None, flows, &log).await?;
-    let (deadlines, exchange, [clients, _]) = (core.deadlines.clone(), core.exchange.clone(), core.most);
+    let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
     let side = Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), log.clone());
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -250,26 +250,157 @@
     });
 }
 
+/// An ingress of 64 descriptors, which leaves 21 for client connections, and a real server that lets many flows in.
+async fn small(manner: Serve) -> (RealServer, Ingress, Agent) {
+    let (server, agent) = (RealServer::start(manner).await, Agent::start().await);
+    let known = (0..8).map(|i| service_entry(&format!("s{i}"), server.at, 0, "in_service")).collect();
+    let mut told = told(agent.at, known);
+    told["limits"]["sockets"] = json!(64);
+    let ingress = start(&told).await;
+    (server, ingress, agent)
+}
+
 #[test]
 fn a_full_table_turns_flows_away() {
     local(async {
-        let (server, agent) = (RealServer::start(ok("x")).await, Agent::start().await);
-        let mut told = told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")]);
-        told["limits"]["sockets"] = json!(64);
-        let ingress = start(&told).await;
-        // More than there is room for, each in the middle of a request.
-        let (whole, mut clients) = (submit("a", 2500), Vec::new());
-        for _ in 0..40 {
+        let (server, ingress, _agent) = small(Serve::Stall).await;
+        let mut clients = Vec::new();
+        for i in 0..21 {
             let mut client = Client::new(ingress.at).await;
-            client.send(&whole[..50]).await;
+            client.send(&board(&format!("a{i}"), 1400, 1)).await;
+            until(|| server.count() == i + 1).await;
             clients.push(client);
         }
         let turned_away = ask(ingress.at, &board("b", 900, 1)).await;
         assert_eq!((status(&turned_away), turned_away.head.close), (503, true));
         assert!(header(&turned_away, "retry-after").is_some());
+        assert_eq!(server.count(), 21);
+    });
+}
+
+/// Bad clients come by hundreds and say nothing, or half of something: they must not hold the table.
+#[test]
+fn who_says_nothing_or_half_a_message_does_not_crowd_out_usual_clients() {
+    local(async {
+        let (_server, ingress, _agent) = small(ok("x")).await;
+        let (mut usual, mut crowd) = (Client::new(ingress.at).await, Vec::new());
+        assert_eq!(status(&usual.ask(&board("a", 900, 1)).await), 200);
+        for i in 0..80 {
+            let mut client = Client::new(ingress.at).await;
+            if i % 2 == 0 {
+                client.send(&submit("h", 2500)[..50]).await;
+            }
+            crowd.push(client);
+        }
+        assert_eq!(status(&ask(ingress.at, &board("b", 900, 1)).await), 200);
+        // Nor are connections closed for them that have brought flows and are idle.
+        assert_eq!(status(&usual.ask(&board("c", 900, 1)).await), 200);
+    });
+}
+
+#[test]
+fn silence_and_half_a_message_are_ended_before_the_longest_flow_is() {
+    local(async {
+        let (server, ingress, _agent) = one(Serve::Stall).await;
+        let mut flow = Client::new(ingress.at).await;
+        let (mut silent, mut half, mut endless) =
+            (Client::new(ingress.at).await, Client::new(ingress.at).await, Client::new(ingress.at).await);
+        half.send(&submit("h", 2500)[..50]).await;
+        endless.send("GET /board-state/1 HTTP/1.1\r\n").await;
+        flow.send(&submit("a", 3000)).await;
+        until(|| server.count() == 1).await;
+        let ended = async {
+            assert!(silent.answer().await.is_none());
+            assert_eq!(status(&half.answer().await.unwrap()), 408);
+            assert_eq!(status(&endless.answer().await.unwrap()), 408);
+        };
+        tokio::select! {
+            biased;
+            () = ended => {}
+            _ = flow.answer() => panic!("they outlived a flow of 3 s"),
+        }
+    });
+}
+
+#[test]
+fn an_id_that_is_open_is_refused_and_its_flow_goes_on() {
+    local(async {
+        let (server, ingress, _agent) = one(Serve::Stall).await;
+        let mut client = Client::new(ingress.at).await;
+        client.send(&submit("a", 600)).await;
+        until(|| server.count() == 1).await;
+        assert_eq!(status(&ask(ingress.at, &board("a", 900, 1)).await), 409);
+        assert_eq!(status(&client.answer().await.unwrap()), 504);
+        // Once it is over it is nobody's any more.
+        server.behave(ok("x"));
+        assert_eq!(status(&ask(ingress.at, &submit("a", 600)).await), 200);
+    });
+}
+
+#[test]
+fn a_client_that_sends_on_after_its_refusal_still_gets_to_read_it() {
+    local(async {
+        let (server, ingress, _agent) = one(ok("x")).await;
+        let mut client = Client::new(ingress.at).await;
+        client.send(&submit("a", 900).replace("Content-Length: 4", "Content-Length: 60000000")).await;
+        for _ in 0..3 {
+            tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+            client.send(&"x".repeat(100_000)).await;
+        }
+        assert_eq!(status(&client.answer().await.unwrap()), 413);
+        // What is hidden in a body that two readers would cut in different places is never read as a request.
+        let hidden =
+            submit("b", 900).replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked");
+        let mut client = Client::new(ingress.at).await;
+        client.send(&hidden.replace("e2e4", &format!("0\r\n\r\n{}", board("c", 900, 1)))).await;
+        assert_eq!(status(&client.answer().await.unwrap()), 400);
+        assert!(client.answer().await.is_none());
         assert_eq!(server.count(), 0);
-        clients[0].send(&whole[50..]).await;
-        assert_eq!(status(&clients[0].answer().await.unwrap()), 200);
+    });
+}
+
+/// Good answers with more than belongs to them: what is ahead is passed over, what is behind is never used.
+#[test]
+fn what_comes_ahead_of_an_answer_or_behind_it_is_not_taken_for_one() {
+    local(async {
+        let (server, ingress, _agent) = one(ok("x")).await;
+        let good = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nServer-Load: rif=\u{1},q=many\r\n\r\nabc";
+        let good = good.replace('\u{1}', "\t-");
+        let ahead = format!("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 P\r\n\r\n{good}");
+        for (i, text) in [ahead, format!("{good}{}", good.replace("abc", "xyz")), format!("{good}\0noise")]
+            .iter()
+            .enumerate()
+        {
+            server.behave(Serve::Bytes(text.clone().into_bytes()));
+            let answer = ask(ingress.at, &submit(&format!("a{i}"), 900)).await;
+            assert_eq!((status(&answer), &answer.body[..]), (200, &b"abc"[..]), "{i}");
+        }
+        server.behave(ok("fresh"));
+        assert_eq!(&ask(ingress.at, &submit("b", 900)).await.body[..], b"fresh");
+        let numbers: Vec<usize> = server.got.borrow().iter().map(|(number, _)| *number).collect();
+        assert_eq!(numbers, [0, 0, 1, 2], "a connection with more on it is done");
+    });
+}
+
+#[test]
+fn an_answer_that_goes_on_for_ever_is_cut() {
+    local(async {
+        let (server, ingress, _agent) = one(ok("x")).await;
+        let endless = [
+            "HTTP/1.1 102 P\r\n\r\n".repeat(5000),
+            format!("HTTP/1.1 200 OK\r\n{}", "X-Pad: p\r\n".repeat(3000)),
+            "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nx".into(),
+            format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+                "5\r\nabcde\r\n".repeat(20000)
+            ),
+        ];
+        for (i, text) in endless.into_iter().enumerate() {
+            server.behave(Serve::Bytes(text.into_bytes()));
+            // At once, not when its time is up; its class may be repeated within the cell.
+            assert_eq!(status(&ask(ingress.at, &submit(&format!("a{i}"), 3000)).await), 502, "{i}");
+        }
+        until(|| server.connections.get()[0] == server.connections.get()[1]).await;
     });
 }
 
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -355,7 +355,9 @@
             self.got.borrow_mut().push((number, message));
             let manner = self.manner.borrow().clone();
             match manner {
-                Serve::Bytes(bytes) => stream.write_all(&bytes).await.unwrap(),
+                // The other side may close in the middle of it.
+                Serve::Bytes(bytes) if stream.write_all(&bytes).await.is_err() => break,
+                Serve::Bytes(_) => {}
                 Serve::Last(bytes) => {
                     stream.write_all(&bytes).await.unwrap();
                     return;
