--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -230,6 +230,16 @@
         Call { seq, name: CounterName(10 + seq), amount: -2.5, keep: 90_000.0 }
     }
 
+    /// Takes a connection and the lines of so many calls.
+    async fn taken(listener: &TcpListener, calls: usize) -> (BufReader<TcpStream>, String) {
+        let mut stream = BufReader::new(listener.accept().await.unwrap().0);
+        let mut text = String::new();
+        for _ in 0..calls {
+            stream.read_line(&mut text).await.unwrap();
+        }
+        (stream, text)
+    }
+
     /// Lets a counter's client make calls to a script of what the counter does on each connection.
     async fn answers<F: Future<Output = ()>>(
         calls: u64,
@@ -263,12 +273,7 @@
     #[tokio::test]
     async fn calls_go_out_together_and_answers_are_matched_in_order() {
         let all = answers(3, async |listener| async move {
-            let (stream, _) = listener.accept().await.unwrap();
-            let mut stream = BufReader::new(stream);
-            let mut text = String::new();
-            for _ in 0..3 {
-                stream.read_line(&mut text).await.unwrap();
-            }
+            let (mut stream, text) = taken(&listener, 3).await;
             assert_eq!(text, "bump 10 -2.5 60000\r\nbump 11 -2.5 60000\r\nbump 12 -2.5 60000\r\n");
             stream.write_all(b"ok 1.5\r\nbusy\r\nok 7\r\n").await.unwrap();
             std::future::pending().await
@@ -280,11 +285,7 @@
     #[tokio::test]
     async fn calls_whose_connection_breaks_may_have_been_added() {
         let all = answers(2, async |listener| async move {
-            let (stream, _) = listener.accept().await.unwrap();
-            let mut stream = BufReader::new(stream);
-            let mut text = String::new();
-            stream.read_line(&mut text).await.unwrap();
-            stream.read_line(&mut text).await.unwrap();
+            let (mut stream, _) = taken(&listener, 2).await;
             stream.write_all(b"ok 1\r\n").await.unwrap();
             drop(stream);
             std::future::pending().await
@@ -302,12 +303,7 @@
     async fn an_answer_without_a_number_says_added_and_ends_its_connection_and_the_next_call_goes_out_at_once()
      {
         let all = answers(3, async |listener| async move {
-            let (stream, _) = listener.accept().await.unwrap();
-            let mut stream = BufReader::new(stream);
-            let mut text = String::new();
-            for _ in 0..3 {
-                stream.read_line(&mut text).await.unwrap();
-            }
+            let (mut stream, mut text) = taken(&listener, 3).await;
             stream.write_all(b"ok 4\r\nok 4x\r\nok 9\r\n").await.unwrap();
             // Its end shows that the connection is done.
             assert_eq!(stream.read_line(&mut text).await.unwrap(), 0);
@@ -335,12 +331,10 @@
             let (told, mut tells) = mpsc::unbounded_channel();
             spawn_local(counter.run(coming, move |seq, answer| told.send((seq, answer)).unwrap()));
             made.send(call(0)).unwrap();
-            let mut old = BufReader::new(old.accept().await.unwrap().0);
-            old.read_line(&mut String::new()).await.unwrap();
+            let (mut old, _) = taken(&old, 1).await;
             move_to.send_replace(Ways { discovery: old_at, counter: Some(new_at) });
             made.send(call(1)).unwrap();
-            let mut new = BufReader::new(new.accept().await.unwrap().0);
-            new.read_line(&mut String::new()).await.unwrap();
+            let (mut new, _) = taken(&new, 1).await;
             new.write_all(b"ok 2\r\n").await.unwrap();
             assert_eq!(tells.recv().await, Some((1, CounterAnswer::Total(2.0))));
             old.write_all(b"ok 1\r\n").await.unwrap();
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -397,3 +397,17 @@
         assert_eq!(ask(at, BOARD, 1).await, allow());
     });
 }
+
+/// Callers that connect and say nothing must not hold the room for those that ask.
+#[test]
+fn a_silent_caller_is_closed() {
+    local(async {
+        use tokio::io::AsyncReadExt;
+        let consul = Consul::start(vec![]).await;
+        let at = start(config(&consul, &[])).await;
+        let mut silent = tokio::net::TcpStream::connect(at).await.unwrap();
+        // What the server says of itself comes first; then the end, or a reset.
+        let mut said = Vec::new();
+        let _ = silent.read_to_end(&mut said).await;
+    });
+}
