--- a/src/rules.rs
+++ b/src/rules.rs
@@ -98,7 +98,7 @@
 const COLD_LEAST: f64 = 0.25;
 /// Memory of what a server takes: longer than a fleet is away, short beside a day.
 const TAKES_TAU: Millis = 20_000.0;
-/// What an attempt counts for at the most in the time that a zone or a kind of machine takes, and what all would
+/// What an attempt counts for at most in the time that a zone or a kind of machine takes, and what all would
 /// count for if all failed, in usual times.
 const FAILED: (f64, f64) = (8.0, 32.0);
 /// Customers not heard of for this long are forgotten.
@@ -339,8 +339,8 @@
         let Some(customer) = self.customers.get(&id) else { return 0.0 };
         let plan = self.plan(customer.plan);
         let (hears, part) = (self.hears(now, customer), self.part(now, customer));
-        // Prevents gateways that see the same units from all granting them before they hear of each other: what
-        // others may draw meanwhile stays in the store, so that a second grant still finds its units.
+        // Prevents gateways that see the same units from all granting them before they hear of each other:
+        // what others may draw meanwhile stays in the store, so that a second grant still finds its units.
         let most = f64::from(self.source == Source::Peers) * self.set.largest.max(1.0).min(plan.burst / 3.0);
         let ahead = (customer.asked_elsewhere(now, DEMAND_TAU) * AHEAD / 1000.0).min(most);
         let rate = if self.source == Source::Meter { plan.rate * part } else { plan.rate };
