Keep at most a third of the client connections idle after a flow, the oldest go first

From 2.6 s on every flow came on a connection of its own, which its client then kept, silent, for 1 to 3 s (EOF seen 1,000 to 2,900 ms after the answer); some 120 to 127 of these were open on each ingress, and clients hold a third of 384 descriptors, 128, at the most. 60 new ones a second for 2 s each is that bound: clients had none left. At fault: server_side.rs next(), which keeps a connection idle for 5 s unless the table of 165 is full. Ruled out by the probes: the module (refusals by its quotas are a third of what is refused, room and peers' silence next to none), flows turned away for a full table (none), 409 and 4xx (none), the backlog (each first message was there when its connection was accepted), restarts (it begins before).

--- a/src/config.rs
+++ b/src/config.rs
@@ -365,6 +365,12 @@
         SHARES.map(|share| ((self.sockets - RESERVE).min(by_memory) as f64 * share) as usize)
     }
 
+    /// The most client connections that are kept idle after a flow: less than half of what clients hold at the most,
+    /// so that the others are free for flows whoever stays.
+    pub fn idle(&self) -> usize {
+        self.connections()[0] / 3
+    }
+
     /// The most connections of the authorisation front's callers.
     pub fn callers(&self) -> usize {
         self.connections()[0].min((self.memory_mb << 20) / 4 / CHECK_BYTES)
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -76,9 +76,9 @@
     retry_after: Millis,
     open: Cell<usize>,
     closed: Notify,
-    /// Connections that may be closed for others, those that never brought a flow first, then the oldest; one is
-    /// closed by dropping its sender.
-    spare: RefCell<BTreeMap<(bool, u64), Spare>>,
+    /// Connections that may be closed for others, the oldest first: those that never brought a flow, and those that
+    /// are idle after one. One is closed by dropping its sender.
+    spare: RefCell<[BTreeMap<u64, Spare>; 2]>,
     turns: Cell<u64>,
     /// The ids of the flows that are open.
     ids: RefCell<HashSet<Bytes>>,
@@ -94,6 +94,8 @@
     pub connections: usize,
     /// Connections beyond these, for turning their flows away.
     pub turned_away: usize,
+    /// Connections that are idle after a flow.
+    pub idle: usize,
     /// Bytes of messages.
     pub budget: Budget,
 }
@@ -172,7 +174,7 @@
             }
         }
         drop(listener);
-        shared.spare.borrow_mut().retain(|_, spare| !spare.idle);
+        shared.spare.borrow_mut().iter_mut().for_each(|spare| spare.retain(|_, spare| !spare.idle));
         info!(shared.log, "draining"; "connections" => shared.open.get());
         while shared.open.get() > 0 {
             shared.closed.notified().await;
@@ -191,29 +193,39 @@
     /// be one of these, and so are those that are idle after a flow, which go only where no other is spare.
     fn make_room(&self, many: usize) -> bool {
         let (mut spare, old) = (self.spare.borrow_mut(), self.deadlines.clock().now() - YOUNG);
-        let before = spare.len();
+        let [silent, idle] = &mut *spare;
+        let before = silent.len() + idle.len();
         for _ in 0..many {
-            match spare.first_entry() {
-                Some(first) if first.key().0 || first.get().since < old => drop(first.remove()),
+            match (silent.first_entry(), idle.first_entry()) {
+                (Some(first), _) if first.get().since < old => drop(first.remove()),
+                (None, Some(first)) => drop(first.remove()),
                 _ => break,
             }
         }
-        spare.len() < before
+        silent.len() + idle.len() < before
     }
 
     /// Whether the table is full, and connections are open that will be old enough for being closed in a moment.
     fn waits(&self) -> bool {
-        let first = self.spare.borrow().first_key_value().is_some_and(|((flows, _), _)| !flows);
-        first && self.open.get() >= self.room.connections
+        !self.spare.borrow()[0].is_empty() && self.open.get() >= self.room.connections
     }
 
-    /// Lists a connection as spare; it is to be closed when this resolves.
+    /// Lists a connection as spare; it is to be closed when this resolves. Too many that are idle after a flow are not
+    /// kept: clients hold only so many connections, and those that ask once and stay would leave none to the others.
     fn spare(&self, (flows, idle): (bool, bool), since: Millis) -> ((bool, u64), oneshot::Receiver<()>) {
         let (_close, closing) = oneshot::channel();
-        let place = (flows, self.turns.get());
-        self.turns.set(place.1 + 1);
-        self.spare.borrow_mut().insert(place, Spare { since, idle, _close });
-        (place, closing)
+        let turn = self.turns.replace(self.turns.get() + 1);
+        let spare = &mut self.spare.borrow_mut()[usize::from(flows)];
+        spare.insert(turn, Spare { since, idle, _close });
+        if flows && spare.len() > self.room.idle {
+            spare.pop_first();
+        }
+        ((flows, turn), closing)
+    }
+
+    /// It is spare no more.
+    fn keep(&self, (flows, turn): (bool, u64)) {
+        self.spare.borrow_mut()[usize::from(flows)].remove(&turn);
     }
 }
 
@@ -296,7 +308,7 @@
             _ = shared.deadlines.within(LINGER[1], read_out) => {}
             _ = closing => {}
         }
-        shared.spare.borrow_mut().remove(&place);
+        shared.keep(place);
     }
 
     fn draining(&self) -> bool {
@@ -356,7 +368,7 @@
                 () = shared.deadlines.sleep(ends - now) => None,
             };
             if let Some((place, _)) = spare {
-                shared.spare.borrow_mut().remove(&place);
+                shared.keep(place);
             }
             match more {
                 Some(true) => {}
--- a/src/node.rs
+++ b/src/node.rs
@@ -167,7 +167,7 @@
     let teller = core.teller();
     core.parts.spawn_local(discovery.run(generation, teller));
     let (phase, phases) = watch::channel(Phase::Starting);
-    let room = Room { connections: flows, turned_away, budget: budget() };
+    let room = Room { connections: flows, turned_away, idle: instance.limits.idle(), budget: budget() };
     let reader = site.clone();
     let read = move |message: &_| platform::read(message, &reader);
     let side = ServerSide::new(read, exchange, deadlines, phases, (room, site.max_retry_after), log.clone());
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -426,6 +426,31 @@
     });
 }
 
+/// Clients hold only so many connections: those that ask once and stay must not leave none to the others.
+#[test]
+fn of_those_who_ask_once_and_stay_the_oldest_are_closed_long_before_the_table_is_full() {
+    local(async {
+        let (_server, ingress, _agent) = small(ok("x")).await;
+        let (_stalling, slow, _agent) = small(Serve::Stall).await;
+        let mut clients = Vec::new();
+        for i in 0..12 {
+            let mut client = Client::new(ingress.at).await;
+            assert_eq!(status(&client.ask(&board(&format!("{i}"), 900, 1)).await), 200, "{i}");
+            clients.push(client);
+        }
+        // The time of a flow elsewhere is over long before that of an idle connection.
+        let flow = board("a", 900, 1);
+        tokio::select! {
+            biased;
+            end = clients[4].answer() => assert!(end.is_none()),
+            _ = ask(slow.at, &flow) => panic!("the fifth of 12 is kept, and there is room for 7"),
+        }
+        for client in &mut clients[5..] {
+            assert_eq!(status(&client.ask(&board("b", 900, 1)).await), 200);
+        }
+    });
+}
+
 #[test]
 fn told_to_stop_it_serves_what_comes_then_closes_and_ends_with_all_answered() {
     local(async {
