Leave out a server that turns all away, and take nothing of the others' room from it

A trace of the room showed it cut from 59 units to 5 within 2.5 s and held there for 4 s, each cut with 'taken' over 0.3 and mostly at a Full. Which servers: one or two at a time, listed as ready, with nothing else out to them, that answered Full within 0.5 to 3 ms, 20 times in 2 s: they drained 1 to 4 s before the list said so. With nothing out they looked the idlest and drew the next pick, and each Full counted as 1.0 in the pressure of all. At fault: rules.rs learn(), where Full was no failure of the server and always pressure on the whole. A lack of descriptors here was reported as Full, too; it is Moot now: nothing was sent.

--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -99,8 +99,8 @@
         let at = pool.at;
         if this.open.get() >= this.most && !evict(&mut pools) {
             debug!(this.log, "no descriptor for a connection to a real server"; "real_server" => %at);
-            // Prevents a real server from being taken for unreachable for want of room here: nothing was sent.
-            return this.schedulings.ended(job.id, Ending::badly(Outcome::Full));
+            // Prevents a real server from being taken for unreachable, or full, for want of room here.
+            return this.schedulings.ended(job.id, Ending::badly(Outcome::Moot));
         }
         this.open.set(this.open.get() + 1);
         spawn_local(connection(Open(this.clone()), server, at, job));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -786,7 +786,8 @@
         let usual = self.usual(request.class, request.units).max(1.0);
         let aim = self.set.classes[request.class.0].aim;
         let (served, failed) = (end.outcome == Outcome::Served, end.outcome.may_have_run());
-        let mut silent = false;
+        let (mut silent, full) = (false, end.outcome == Outcome::Full);
+        let unreached = end.outcome == Outcome::ConnectFailed;
         let judged = !matches!(end.outcome, Outcome::Moot | Outcome::Cancelled);
         // Work that cold, drained or gone ones finish says nothing of what a warm one takes.
         let warm = |s: &Server| s.entry.state == ServerState::Ready && self.warmth(now, s) >= 1.0;
@@ -800,8 +801,7 @@
                 let takes = self.scopes.entry((scope, request.class)).or_default();
                 takes.add(now, times, FAILED.1, WEIGHT, SLOWNESS_TAU);
             }
-            silent = (server.silence(now) > SILENCE && end.outcome == Outcome::TimedOut)
-                || server.slowness(now, SLOWNESS_TAU) > OUTLIER;
+            silent = server.strays(now, end.outcome, [SILENCE, OUTLIER, SLOWNESS_TAU]);
             server.out.remove(&(request.id, end.attempt));
             if judged && end.outcome != Outcome::TimedOut {
                 server.answered = now;
@@ -815,12 +815,12 @@
             if served {
                 // Prevents pushing over a server that died and came back before the list said so.
                 server.well(now, UNLISTED_RESTART);
-            } else if (failed && end.outcome != Outcome::Cancelled) || end.outcome == Outcome::ConnectFailed {
+            } else if (failed && end.outcome != Outcome::Cancelled) || unreached || full {
                 // Silence alone is no evidence of a restart: a healed link would make a whole zone cold.
-                if end.outcome == Outcome::ConnectFailed {
+                if unreached {
                     server.unreachable(now);
                 }
-                server.fail(now, silent || end.outcome == Outcome::ConnectFailed, EJECT);
+                server.fail(now, silent || unreached, EJECT);
             }
         }
         self.lost.add(f64::from(end.outcome == Outcome::TimedOut), WEIGHT / 2.0);
@@ -829,8 +829,8 @@
             self.classes[request.class.0].add(end.spent, request.units, WEIGHT);
         }
         silent &= !self.shared; // The mean, not a count of late ones, which a few long requests hold low.
-        if judged && end.outcome != Outcome::ConnectFailed && !silent {
-            let taken = if end.outcome == Outcome::Full { 1.0 } else { (end.spent / aim).min(1.0) };
+        if judged && !unreached && !silent {
+            let taken = if full { 1.0 } else { (end.spent / aim).min(1.0) };
             // By time where answers are few: prevents many gateways from learning of a trouble after it.
             self.press(now, taken, SHORT_TAU, [WEIGHT / 2.0, WEIGHT]);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -534,6 +534,14 @@
         waits.fold(0.0, f64::max)
     }
 
+    /// Whether what an attempt has come to there says nothing of the others' room. Prevents one that turns all away,
+    /// as one does that drains before the list says so, from being taken for a back end that is full.
+    pub(crate) fn strays(&self, now: Millis, outcome: Outcome, [silence, outlier, tau]: [f64; 3]) -> bool {
+        (outcome == Outcome::TimedOut && self.silence(now) > silence)
+            || self.slowness(now, tau) > outlier
+            || (outcome == Outcome::Full && self.failures > 0)
+    }
+
     /// The longest time that an attempt has been out, in multiples of the usual time.
     pub(crate) fn waiting(&self, now: Millis) -> f64 {
         self.out.values().map(|(sent, _, usual)| (now - sent) / usual.max(1.0)).fold(0.0, f64::max)
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use std::collections::VecDeque;
 use weldhub::interface::*;
 use weldhub::{Action, Event};
 
@@ -186,6 +187,31 @@
     assert_eq!(run(&mut bench, &|_| true), 200, "all are bad: all are still tried");
 }
 
+/// A server that drains before the list says so answers at once and looks idle: it would draw the traffic, and what it
+/// turns away would be taken for a full back end.
+#[test]
+fn one_that_turns_all_away_is_left_out_and_does_not_cut_the_room() {
+    let mut bench = Bench::new(settings(Plan { rate: 0.1, burst: 1e6, ..Plan::default() }), 3);
+    let (mut turned_away, mut out) = (0, VecDeque::new());
+    for _ in 0..500 {
+        bench.wait(12.0);
+        let (id, mut acts) = bench.ask(1, 0, 1.0, 1);
+        let mut no = 0;
+        while sent(&acts) == Some(ServerId(0)) {
+            turned_away += 1;
+            acts = bench.wait(1.0).end(id, no, ServerId(0), Outcome::Full, 1.0);
+            no += 1;
+        }
+        out.extend(sent(&acts).map(|server| (bench.now, id, no, server)));
+        while let Some((at, id, no, server)) = out.pop_front_if(|(at, ..)| *at < bench.now - 100.0) {
+            bench.end(id, no, server, Outcome::Served, bench.now - at);
+        }
+    }
+    assert!(turned_away < 50, "{turned_away} of 500 went to the one that drains");
+    let granted = (0..100).filter(|_| sent(&bench.ask(1, 0, 1.0, 1).1).is_some()).count();
+    assert!(granted >= 5, "only {granted} are let in beside those that are out");
+}
+
 #[test]
 fn a_slow_server_gets_less() {
     let mut bench = quiet();
