End the connections of authorisation callers after a minute: who asks once and stays holds no room

Seen with a test: of 30 callers that stay the 22nd (64 descriptors have room for 21) waits in the backlog until it gives up. At fault: service.rs serve(), which ends a connection only where its machine is gone or it never said anything. Now authz.max_connection_age_ms (60 s) tells a caller to connect anew; checks that are open are finished. tonic's grace is not used: with it the connection is cut off only after both times, and with checks open (its connection_timeout_future never asks for the graceful end then; measured in the test). The platform's front and the decisions are untouched.

--- a/src/config.rs
+++ b/src/config.rs
@@ -474,6 +474,9 @@
     pub fail_open: bool,
     /// How long a caller waits that does not say.
     pub default_timeout: Millis,
+    /// A caller's connection is ended after this, once its checks are answered: callers that ask once and stay must
+    /// not hold the room for good.
+    pub connection_age: Millis,
     /// Prefixes of paths and the classes of what they begin.
     pub routes: Vec<(String, usize)>,
     /// Where the customer stands.
@@ -499,6 +502,8 @@
     pub authz: Authz,
 }
 
+/// How old a caller's connection may become where the file says nothing.
+const CONNECTION_AGE: Millis = 60_000.0;
 /// The longest that a blocking query blocks where the file says nothing.
 const CONSUL_WAIT: Millis = 55_000.0;
 
@@ -533,6 +538,7 @@
         let authz = Authz {
             fail_open: pairs.opt("authz.fail_open")?,
             default_timeout: pairs.positive("authz.default_timeout_ms", 1000.0)?,
+            connection_age: pairs.positive("authz.max_connection_age_ms", CONNECTION_AGE)?,
             routes: (0..pairs.opt("authz.routes.count")?).map(route).collect::<Result<_, _>>()?,
             customer: field("authz.customer", "header:x-customer")?,
             plan: field("authz.plan", "header:x-tier")?,
--- a/src/fronts/ext_authz/service.rs
+++ b/src/fronts/ext_authz/service.rs
@@ -90,11 +90,12 @@
     }
 }
 
-/// Serves until `stop`, and then until all that was taken is answered.
+/// Serves until `stop`, and then until all that was taken is answered. At most so many connections are held, each of
+/// them for so long.
 pub async fn serve(
     service: CheckService,
     listener: TcpListener,
-    most: usize,
+    (most, age): (usize, Duration),
     stop: impl Future<Output = ()>,
     log: Logger,
 ) -> Result<(), tonic::transport::Error> {
@@ -105,6 +106,8 @@
         .max_concurrent_streams(STREAMS)
         .initial_stream_window_size(WINDOWS.0)
         .initial_connection_window_size(WINDOWS.1)
+        // Without a grace: with one, this version cuts the connection off after both, checks and all.
+        .max_connection_age(age)
         .http2_keepalive_interval(Some(PING.0))
         .http2_keepalive_timeout(Some(PING.1));
     let served = server.serve_with_incoming_shutdown(service, connections, stop).await;
--- a/src/node.rs
+++ b/src/node.rs
@@ -23,6 +23,7 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet, LocalSet, spawn_local};
@@ -188,6 +189,7 @@
     let AuthzConfig { instance, consul, authz } = config;
     let site = &instance.site;
     let clients = instance.limits.callers();
+    let room = (clients, Duration::from_secs_f64(authz.connection_age / 1000.0));
     let flows = clients * CHECKS;
     let mut core = Core::<Check, Bytes>::start(&instance, &ways, None, flows, &log).await?;
     let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
@@ -207,7 +209,7 @@
     let taking = spawn_local(async move {
         // Checks that come before the first list wait in the backlog.
         let _ = starting.wait_for(|phase| *phase >= Phase::Serving).await;
-        if let Err(e) = service::serve(service, listener, clients, draining, told.clone()).await {
+        if let Err(e) = service::serve(service, listener, room, draining, told.clone()).await {
             info!(told, "serving ended"; "error" => %e);
         }
     });
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -411,3 +411,24 @@
         let _ = silent.read_to_end(&mut said).await;
     });
 }
+
+/// An instance of 64 descriptors has room for 21 callers.
+#[test]
+fn callers_that_ask_once_and_stay_do_not_hold_the_room_for_good() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let changes = [
+            ("sockets = 1024", "sockets = 64"),
+            ("max_connection_age_ms = 60000", "max_connection_age_ms = 500"),
+        ];
+        let at = start(config(&consul, &changes)).await;
+        let mut staying = Vec::new();
+        for _ in 0..30 {
+            let sender = open(at).await.unwrap();
+            let asked = call(sender.clone(), at, tonic::Request::new(message(BOARD, 1))).await;
+            assert_eq!(asked.unwrap(), allow());
+            staying.push(sender);
+        }
+    });
+}
