Ask an overbooked discovery in turn, and let homes answer a fleet that starts or floods

At fault: discovery.rs BACKOFF, 50 ms doubling to 1 s without jitter, the same for every instance: what is safe for one keeps the service overbooked for all. Counted by reason over the fleet: homes deny, and askers keep quiet for up to 3 s after a denial whose refill takes 60 to 100 ms. At fault: rules.rs decide(), a ledger that begins with one request's units (6 of 55), and `quiet`, which grew with every ask beyond a bound from the rate and shrank only at denials; customer(), ceilings that begin empty. Consul's queries are paced alike. A test of the authorisation front no longer depends on how fast its checks come.

--- a/src/consul.rs
+++ b/src/consul.rs
@@ -7,13 +7,14 @@
 use crate::net::discovery::{List, ServiceEntry, server_id};
 use crate::net::http::{Kind, take_message};
 use crate::net::stream::{Way, connect, read_more};
+use crate::pacing::Pacing;
 use bytes::BytesMut;
 use serde_json::Value;
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 
-/// A query that fails is asked again after the first, then twice as long each time, up to the second.
+/// A query that fails is asked again after the first at the least, and up to the second or what the fleet needs.
 const BACKOFF: [Millis; 2] = [100.0, 10_000.0];
 /// However fast the index moves, queries are this far apart.
 const PACE: Millis = 20.0;
@@ -33,6 +34,8 @@
     pub site: Site,
     /// For its pauses.
     pub deadlines: Deadlines,
+    /// The instance's own, so that a fleet does not ask as one.
+    pub seed: u64,
     /// Where its troubles are logged.
     pub log: Logger,
 }
@@ -40,20 +43,22 @@
 impl Watch {
     /// Watches for ever; every list goes to `tell`. Silence, failures and garbage leave the list as it is.
     pub async fn run(self, mut tell: impl FnMut(List)) {
-        let (mut index, mut pause, mut last) = (0, BACKOFF[0], None);
+        let (mut index, mut last) = (0, None);
+        let mut pacing = Pacing::new(self.site.settings.gateways, BACKOFF, self.seed);
         loop {
             let at = self.agent.now();
             let asked = tokio::select! {
                 asked = self.ask(at, index) => asked,
                 // Another agent counts its index by itself: it is asked for all, at once.
                 () = self.agent.moved_from(at) => {
-                    (index, pause) = (0, BACKOFF[0]);
+                    index = 0;
+                    pacing.heard();
                     continue;
                 }
             };
             match asked {
                 Ok((next, entries)) => {
-                    pause = BACKOFF[0];
+                    pacing.heard();
                     // Prevents waiting for ever on an index that Consul has gone back behind.
                     index = if next < index { 0 } else { next.max(1) };
                     // A blocking query that only timed out says the same again.
@@ -64,13 +69,13 @@
                     self.deadlines.sleep(PACE).await;
                 }
                 Err(why) => {
-                    warn!(self.log, "consul query failed"; "why" => why, "again_in_ms" => pause);
+                    let pause = pacing.again();
+                    warn!(self.log, "consul query failed"; "why" => why, "again_in_ms" => pause.round());
                     index = 0;
                     tokio::select! {
                         () = self.deadlines.sleep(pause) => {}
-                        () = self.agent.moved_from(at) => pause = BACKOFF[0],
+                        () = self.agent.moved_from(at) => pacing.heard(),
                     }
-                    pause = (pause * 2.0).min(BACKOFF[1]);
                 }
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod mail;
 pub mod net;
 pub mod node;
+pub mod pacing;
 mod prng;
 pub mod rules;
 mod state;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,6 +5,7 @@
 use crate::config::Site;
 use crate::deadlines::Deadlines;
 use crate::interface::*;
+use crate::pacing::Pacing;
 use bytes::BytesMut;
 use serde_json::Value;
 use slog::{Logger, info, warn};
@@ -17,7 +18,7 @@
 const SILENCE: Millis = 4500.0;
 /// A connection to the agent that is not up by then never will be: it is on this machine.
 const CONNECT: Millis = 1000.0;
-/// A watch that fails is opened again after the first, then twice as long each time, up to the second.
+/// A watch that fails is opened again after the first at the least, and up to the second or what the fleet needs.
 const BACKOFF: [Millis; 2] = [50.0, 1000.0];
 
 /// A service entry: a line of the list.
@@ -99,6 +100,8 @@
     pub site: Site,
     /// For its pauses.
     pub deadlines: Deadlines,
+    /// The instance's own, so that a fleet does not ask as one.
+    pub seed: u64,
     /// Where its troubles are logged.
     pub log: Logger,
 }
@@ -107,8 +110,15 @@
     /// Watches for ever, from the generation that is known, if any; every list goes to `tell`. Silence, failures and
     /// garbage leave the list as it is.
     pub async fn run(self, mut known: Option<u64>, mut tell: impl FnMut(List)) {
-        let mut pause = BACKOFF[0];
+        let mut pacing = Pacing::new(self.site.settings.gateways, BACKOFF, self.seed);
+        // Who knows no list cannot serve without one.
+        let mut pause = if known.is_some() { pacing.first() } else { 0.0 };
         loop {
+            let at = self.agent.now();
+            tokio::select! {
+                () = self.deadlines.sleep(pause) => {}
+                () = self.agent.moved_from(at) => {}
+            }
             let (at, mut heard) = (self.agent.now(), false);
             let watch = self.watch(at, &mut known, |list| {
                 heard = true;
@@ -117,14 +127,13 @@
             // The new agent is asked at once for what came after the version that is known: nothing is lost.
             tokio::select! {
                 why = watch => {
-                    pause = if heard { BACKOFF[0] } else { (pause * 2.0).min(BACKOFF[1]) };
-                    info!(self.log, "discovery watch ended"; "why" => why, "again_in_ms" => pause);
+                    if heard {
+                        pacing.heard();
+                    }
+                    pause = pacing.again();
+                    info!(self.log, "discovery watch ended"; "why" => why, "again_in_ms" => pause.round());
                 }
-                () = self.agent.moved_from(at) => pause = BACKOFF[0],
-            }
-            tokio::select! {
-                () = self.deadlines.sleep(pause) => {}
-                () = self.agent.moved_from(at) => {}
+                () = self.agent.moved_from(at) => pause = 0.0,
             }
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -164,7 +164,8 @@
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
     let agent = Way::new(&ways, agent, |ways| Some(ways.discovery));
-    let discovery = Discovery { agent, site: site.clone(), deadlines: deadlines.clone(), log: log.clone() };
+    let (pauses, seed) = (deadlines.clone(), instance.seed);
+    let discovery = Discovery { agent, site: site.clone(), deadlines: pauses, seed, log: log.clone() };
     let teller = core.teller();
     core.parts.spawn_local(discovery.run(generation, teller));
     let (phase, phases) = watch::channel(Phase::Starting);
@@ -197,7 +198,8 @@
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
     let agent = Way::new(&ways, consul.address, |ways| Some(ways.discovery));
-    let watch = Watch { agent, consul, site: site.clone(), deadlines, log: log.clone() };
+    let seed = instance.seed;
+    let watch = Watch { agent, consul, site: site.clone(), deadlines, seed, log: log.clone() };
     let teller = core.teller();
     core.parts.spawn_local(watch.run(teller));
     let (phase, mut phases) = watch::channel(Phase::Starting);
--- /dev/null
+++ b/src/pacing.rs
@@ -0,0 +1,89 @@
+//! When to ask again for what a whole fleet asks for. A service that all instances ask in the same moment answers
+//! none of them in time, and if all come again together it never does: the asks are spread over a time that grows
+//! with the fleet, by chance, and over twice as much after each failure. Plain arithmetic, without a clock.
+
+use crate::interface::Millis;
+use crate::prng::Prng;
+
+/// The time that each further instance of the fleet adds to what asks are spread over.
+const SHARE: Millis = 50.0;
+/// The first asks are spread over this at the most: what would have been told counts as told from then on.
+const FIRST: Millis = 150.0;
+/// After failures they are spread over so many times as much at the most.
+const MOST: f64 = 4.0;
+
+/// The pauses of one asker.
+#[derive(Debug)]
+pub struct Pacing {
+    spread: Millis,
+    bounds: [Millis; 2],
+    failures: u32,
+    rng: Prng,
+}
+
+impl Pacing {
+    /// For one of so many instances, with the shortest pause after a failure, and the longest where the fleet does not
+    /// need a longer one. The seed is the instance's own.
+    pub fn new(instances: u16, bounds: [Millis; 2], seed: u64) -> Self {
+        let spread = SHARE * f64::from(instances.saturating_sub(1));
+        Self { spread, bounds, failures: 0, rng: Prng::new(seed) }
+    }
+
+    /// Before the first ask: others may have started in the same moment. Soon, as its answer is owed early.
+    pub fn first(&mut self) -> Millis {
+        self.spread.min(FIRST) * self.rng.unit()
+    }
+
+    /// What was asked for has come.
+    pub fn heard(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Before the next ask, after a failure or the end of what went well, which may have ended for all at once.
+    pub fn again(&mut self) -> Millis {
+        let [least, most] = self.bounds;
+        let widest = (least.max(self.spread) * f64::from(1u32 << self.failures.min(16)))
+            .min(most.max(MOST * self.spread));
+        self.failures += 1;
+        least + (widest - least).max(0.0) * self.rng.unit()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BOUNDS: [Millis; 2] = [50.0, 1000.0];
+
+    /// The most asks that come within `window` where every one of a fleet fails again and again for 20 s.
+    fn crowd(instances: u16, window: Millis) -> usize {
+        let mut at: Vec<Millis> = Vec::new();
+        for seed in 0..instances {
+            let mut pacing = Pacing::new(instances, BOUNDS, u64::from(seed));
+            let mut now = pacing.first() + pacing.again();
+            while now < 20_000.0 {
+                at.push(now);
+                now += pacing.again();
+            }
+        }
+        at.sort_by(f64::total_cmp);
+        (0..at.len()).map(|i| at[i..].iter().take_while(|x| **x < at[i] + window).count()).max().unwrap()
+    }
+
+    #[test]
+    fn a_fleet_that_starts_or_fails_together_does_not_ask_together() {
+        // All at once, and every second from then on, 100 would ask within any such window.
+        assert!(crowd(100, 100.0) <= 15, "{} of 100 within 100 ms", crowd(100, 100.0));
+        assert!(crowd(400, 100.0) <= 20, "{} of 400 within 100 ms", crowd(400, 100.0));
+    }
+
+    #[test]
+    fn one_alone_asks_at_once_and_a_few_come_again_soon() {
+        assert_eq!(Pacing::new(1, BOUNDS, 7).first(), 0.0);
+        let mut pacing = Pacing::new(4, BOUNDS, 7);
+        let pauses: Vec<_> = (0..100).map(|_| pacing.again()).collect();
+        assert!(pauses.iter().all(|p| (50.0..=1000.0).contains(p)), "{pauses:?}");
+        pacing.heard();
+        assert!(pacing.again() <= 150.0, "what went well is asked for again soon");
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,8 +48,10 @@
 const HOME_LOST: (u32, Millis) = (3, 2000.0);
 /// Units granted ahead are to be used within this time: what lapses is lost to the customer.
 const CREDIT_TIME: Millis = 1000.0;
-/// Asks that a home wants for each request that a quota lets in, and the part of its mail that they may be.
-const ASKS: (f64, f64) = (2.0, 0.3);
+/// The part of a home's mail that the asks for one customer may be.
+const ASKS: f64 = 0.3;
+/// The part of a burst that a home takes an unknown store to hold: a heavy customer's is empty, most are full.
+const UNKNOWN: f64 = 0.6;
 /// The shortest and the longest time that a gateway told of an empty store asks no more.
 const QUIET: [Millis; 2] = [30.0, 3000.0];
 /// Memory of asks, and of pressure where answers are few.
@@ -301,7 +303,9 @@
         // An unknown store is not a full one, nor is a whole request each gateway's part where they are many.
         let chance = request.units * self.rng.unit();
         let store = if n > FEW { plan.burst / n + chance } else { (plan.burst / n).max(least) };
-        let fresh = || Customer::new(request, spread, store, started, now);
+        // A ceiling holds what a life before may not have drawn: it kept the quota.
+        let ceiling = (plan.ceiling_burst - plan.burst).max(0.0) / n;
+        let fresh = || Customer::new(request, spread, (store, ceiling), started, now);
         let customer = self.customers.entry(request.customer).or_insert_with(fresh);
         customer.seen = now;
         customer
@@ -534,7 +538,7 @@
         let units = of.units.clamp(0.25, self.set.largest.max(1.0));
         let unasked = unasked.max(-self.set.largest);
         let end = now + self.set.classes[of.class.0].aim;
-        let store = Bucket::new(self.set.largest.max(1.0).min(plan.burst), self.started);
+        let store = Bucket::new((plan.burst * UNKNOWN).max(self.set.largest).min(plan.burst), self.started);
         let ledger = self.ledgers.entry(of.customer).or_insert_with(|| Ledger::new(store, QUIET[0]));
         ledger.seen = now;
         ledger.asked.add(now, 1.0, SHORT_TAU);
@@ -545,6 +549,10 @@
             return (true, 0.0);
         }
         let (level, asked) = (ledger.store.level, ledger.asked.per_second(now, SHORT_TAU));
+        // Prevents a flood of asks beyond what the mail limit bears. Every ask tells: a home that grants most
+        // of them denies too few to learn from these alone that the flood is over.
+        let most = (self.set.mail_per_second * ASKS).max(1.0);
+        ledger.quiet = (ledger.quiet * if asked > most { 1.1 } else { 0.9 }).clamp(QUIET[0], QUIET[1]);
         let fits = plan.rate <= 0.0 || level >= units;
         if fits && (plan.open_cap <= 0.0 || (ledger.out.len() as f64) < plan.open_cap) {
             ledger.store.level -= units;
@@ -552,10 +560,6 @@
             let ahead = (level - units - plan.burst / 2.0).max(0.0) / 2.0 / asked.max(1.0);
             return (true, if plan.open_cap > 0.0 { 0.0 } else { ahead });
         }
-        // Prevents a flood of asks: so many are wanted as find units, and as the mail limit bears.
-        let most = self.set.mail_per_second * ASKS.1;
-        let wanted = (ASKS.0 * plan.rate / units.max(0.25)).clamp(1.0, most.max(1.0));
-        ledger.quiet = (ledger.quiet * if asked > wanted { 1.1 } else { 0.9 }).clamp(QUIET[0], QUIET[1]);
         let refill = if fits { 0.0 } else { 1000.0 * (units - level) / plan.rate };
         (false, ledger.quiet.max(refill).min(QUIET[1]))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -621,15 +621,21 @@
 }
 
 impl Customer {
-    /// A customer first seen at `now`, whose stores held this much at `started`.
-    pub(crate) fn new(request: &Request, spread: u16, store: f64, started: Millis, now: Millis) -> Self {
+    /// A customer first seen at `now`, whose stores and ceiling held this much at `started`.
+    pub(crate) fn new(
+        request: &Request,
+        spread: u16,
+        (store, ceiling): (f64, f64),
+        started: Millis,
+        now: Millis,
+    ) -> Self {
         Self {
             plan: request.plan,
             spread,
             first: request.first,
             store: Bucket::new(store, started),
             slice: Bucket::new(store, started),
-            ceiling: Bucket::new(0.0, started),
+            ceiling: Bucket::new(ceiling, started),
             asked: Rate::default(),
             drawn: 0.0,
             asked_untold: 0.0,
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -421,6 +421,8 @@
         let changes = [
             ("sockets = 1024", "sockets = 64"),
             ("max_connection_age_ms = 60000", "max_connection_age_ms = 500"),
+            // All of them are inside the quota, however fast they come.
+            ("storeSize = 27.0", "storeSize = 1000.0"),
         ];
         let at = start(config(&consul, &changes)).await;
         let mut staying = Vec::new();
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -85,6 +85,41 @@
     assert!((15..=28).contains(&granted), "{granted} of a burst of 20");
 }
 
+#[test]
+fn a_home_that_knows_nothing_yet_grants_most_of_a_burst_and_not_all() {
+    let mut fleet = Fleet::new(plan());
+    let granted: usize = (0..4 * MANY).map(|i| sends(&fleet.ask(i % MANY, 0, 1).1)).sum();
+    // Also what is granted ahead of the next asks.
+    assert!((12..=18).contains(&granted), "{granted} of a burst of 20");
+}
+
+#[test]
+fn after_a_flood_of_asks_a_home_no_longer_sends_deniers_away_for_long() {
+    let mut fleet = Fleet::new(Plan { rate: 20.0, ..plan() });
+    for i in 0..600 {
+        fleet.now += 5.0;
+        fleet.ask(i % MANY, 0, 1);
+    }
+    // Calm: nearly all is granted, so the home learns from what it grants.
+    for i in 0..60 {
+        fleet.now += 250.0;
+        fleet.ask(i % MANY, 0, 1);
+    }
+    let denied = (0..MANY).find(|me| sends(&fleet.ask(*me, 0, 1).1) == 0).unwrap();
+    fleet.now += 300.0;
+    assert_eq!(sends(&fleet.ask(denied, 0, 1).1), 1, "the store has filled again, and the denied may ask");
+}
+
+#[test]
+fn a_gateway_that_starts_holds_of_a_ceiling_what_the_quota_leaves_of_it() {
+    let capped = |burst| Plan { ceiling_rate: 30.0, ceiling_burst: 24.0, burst, ..plan() };
+    let at_once = |plan| {
+        let mut bench = Bench::new(settings(plan), 5);
+        (0..30).filter(|_| sent(&bench.ask(1, 0, 1.0, 1).1).is_some()).count()
+    };
+    assert_eq!((at_once(capped(10.0)), at_once(capped(20.0))), (10, 4));
+}
+
 #[test]
 fn many_gateways_keep_a_small_cap_and_get_its_places_back() {
     let mut fleet = Fleet::new(Plan { rate: 1000.0, burst: 1000.0, open_cap: 3.0, ..Plan::default() });
