Fill a cold real server by a few gateways whose buckets hold whole requests

At fault: rules.rs turn(), COLD_SHARE: each of all gateways sent by a small chance of its own, and against what chance brings at worst only a sixth of the budget was used; pick() came upon a cold server only by the way. Ruled out: quotas (denials follow the stores), discovery (the lists came in time), connections (none refused). Now a cold server is filled by as many gateways as each has a request's units a window, picked by a place that all agree on; a turn is a whole bucket, not a chance, and half of the budget is used. Their turns are asked for first.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,7 +50,7 @@
 const CREDIT_TIME: Millis = 1000.0;
 /// The part of a home's mail that the asks for one customer may be.
 const ASKS: f64 = 0.3;
-/// The part of a burst that a home takes an unknown store to hold: a heavy customer's is empty, most are full.
+/// The part of a burst that a home takes an unknown store to hold: a heavy customer's is empty, most full.
 const UNKNOWN: f64 = 0.6;
 /// The shortest and the longest time that a gateway told of an empty store asks no more.
 const QUIET: [Millis; 2] = [30.0, 3000.0];
@@ -94,8 +94,10 @@
 const OUTLIER: f64 = 2.0;
 /// A server unreachable this long may have restarted unlisted: it is taken for cold when it answers.
 const UNLISTED_RESTART: Millis = 400.0;
-/// A cold server gets this part of the budget at which it falls, and may save up that of so many windows.
-const COLD_SHARE: (f64, f64) = (1.0 / 6.0, 0.5);
+/// A cold server gets this part of the budget at which it falls, where warm ones are fully busy.
+const COLD_SHARE: f64 = 0.5;
+/// The part of the largest request that each gateway which fills a cold server has in a window.
+const COLD_TURN: f64 = 1.0 / 3.0;
 /// Where nothing is known, it gets so many of the largest requests a fall window, from all together.
 const COLD_LEAST: f64 = 0.25;
 /// Memory of what a server takes: longer than a fleet is away, short beside a day.
@@ -203,37 +205,44 @@
         self.size_up(now);
     }
 
-    /// The ready servers that are warm, and their weights.
+    /// The ready servers that are cold; those that are warm, and their weights.
     fn size_up(&mut self, now: Millis) {
+        let cold = |id: &&ServerId| self.servers.get(id).is_some_and(|s| self.warmth(now, s) < 1.0);
+        self.cold = self.ready.iter().filter(cold).copied().collect();
         let ready = self.ready.iter().filter_map(|id| self.servers.get(id));
         let warm = ready.filter(|s| self.warmth(now, s) >= 1.0);
         self.size = warm.fold([0.0; 2], |[n, weights], s| [n + 1.0, weights + s.weight()]);
     }
 
-    /// Whether it is a cold server's turn to get a request of these units, by a chance that this uses up.
+    /// Whether a cold server is to get a request of these units now; a yes uses its turn.
     ///
     /// Prevents all gateways together from pushing it over. What warm servers serve of each gateway's work
     /// sums up to no more than they can do, whatever is sent, refused or asked again; for each of them, at
-    /// the cold one's warmth, it is this gateway's share of what that can do, and stays when the others are
-    /// gone. Of that share in the budget of a fall window a sixth is filled in, and half of that saved up at
-    /// most. A request passes by the part of its units that is held, and takes all that is: on average none
-    /// sends more than was filled in, nor one that restarts and begins with nothing. With all that is saved
-    /// up used at once, all are expected to use (1 + 1/2) / 6 of the budget. Three quarters are left for
-    /// chance (four times the mean comes in one of a thousand windows that hold six requests), kinds of
-    /// machine and gateways not told yet. Every attempt asks here: first, further, held or not. It could
-    /// harm where a whole fleet starts: little is sent until it is warm.
+    /// the cold one's warmth, it is what that can do, and stays when the others are gone. Of the budget that
+    /// makes it fall half is used where the warm ones are fully busy, less where they are less. So many
+    /// gateways fill it that each has a request's units a window, the same ones by all their reckoning: where
+    /// each of a hundred sent by a small chance of its own, only a sixth could be used, for chance brings
+    /// three times the mean now and then. One that restarts begins with nothing. Every attempt asks here:
+    /// first, further, held or not. It could harm where a whole fleet starts: little is sent till it is warm.
     fn turn(&mut self, now: Millis, id: ServerId, units: f64) -> bool {
         let takes = self.takes.map(|t| t.young(now, TAKES_TAU, (now - self.started).max(DEMAND_TAU)));
         let (cold, window) = (self.set.cold, self.set.cold.fall_window / 1000.0);
-        let all = COLD_LEAST * self.set.largest.max(1.0) / window.max(0.001);
+        let (largest, gateways) = (self.set.largest.max(1.0), f64::from(self.set.gateways));
         let warmth = self.servers.get(&id).map_or(0.0, |s| self.warmth(now, s));
+        let place = f64::from(self.set.me.place_after(id, self.set.gateways));
         let Some(server) = self.servers.get_mut(&id) else { return false };
         // A listed weight, perhaps a guess or of the moment, may lower a server's part, but not raise it.
-        let rate = takes[0].min(takes[1] * server.weight()) * warmth * cold.fall_multiple * COLD_SHARE.0;
-        let rate = rate.max(all / f64::from(self.set.gateways));
-        let held = server.slow_start.fill(now, rate, rate * window * COLD_SHARE.1);
-        server.slow_start.level = (held - units.max(1.0)).max(0.0);
-        self.rng.unit() * units.max(1.0) < held
+        let own = takes[0].min(takes[1] * server.weight()) * warmth * cold.fall_multiple * COLD_SHARE;
+        let all = (own * gateways).max(COLD_LEAST * largest / window.max(0.001));
+        let fillers = (all * window / (largest * COLD_TURN)).ceil().clamp(1.0, gateways);
+        if place >= fillers {
+            return false;
+        }
+        let rate = all / fillers;
+        let held = server.slow_start.fill(now, rate, largest);
+        let turn = held >= units;
+        server.slow_start.level -= if turn { units } else { 0.0 };
+        turn
     }
 
     fn usual(&self, class: ClassId, units: f64) -> Millis {
@@ -262,6 +271,11 @@
         let home = open.risky.and_then(|i| self.servers.get(&open.attempts[i].server)).map(|s| s.entry);
         let in_group = |id: &&ServerId| effect.allows_at(home.as_ref(), &self.servers[*id].entry);
         let group = open.risky.map(|_| self.ready.iter().filter(in_group).copied().collect::<Vec<_>>());
+        if group.is_none()
+            && let Some(id) = self.cold_turn(now, open)
+        {
+            return Some(id);
+        }
         let (own, mut from) = (group.is_none(), group.unwrap_or_else(|| std::mem::take(&mut self.ready)));
         let (mut best, mut choices, mut bads): (Option<(Rank, ServerId)>, _, _) = (None, 0, 0);
         // Sampled before ranking: no pass over all servers for each request.
@@ -272,7 +286,7 @@
             let tried = open.attempts.iter().any(|a| a.server == from[k]);
             let cold = self.warmth(now, server) < 1.0;
             let bad = self.passed_over(now, server) && !self.shared;
-            if (tried && from.len() > 1) || (cold && !self.turn(now, from[k], open.request.units)) {
+            if (tried && from.len() > 1) || (cold && (own || !self.turn(now, from[k], open.request.units))) {
                 continue;
             }
             let server = &self.servers[&from[k]];
@@ -296,6 +310,21 @@
         best.filter(|((bad, ..), _)| !bad || all_bad).map(|(_, id)| id)
     }
 
+    /// A cold server whose turn it is. They come first: the few gateways that fill one see too little to do
+    /// so by the way.
+    fn cold_turn(&mut self, now: Millis, open: &Open) -> Option<ServerId> {
+        let cold = std::mem::take(&mut self.cold);
+        let start = self.rng.below(cold.len());
+        let fits = |this: &mut Self, id: ServerId| {
+            let tried = open.attempts.iter().any(|a| a.server == id) && this.ready.len() != 1;
+            let well = this.servers.get(&id).is_some_and(|s| this.shared || !this.passed_over(now, s));
+            !tried && well && this.turn(now, id, open.request.units)
+        };
+        let found = (0..cold.len()).map(|i| cold[(start + i) % cold.len()]).find(|id| fits(self, *id));
+        self.cold = cold;
+        found
+    }
+
     fn customer(&mut self, now: Millis, request: &Request) -> &mut Customer {
         let plan = self.plan(request.plan);
         let (started, spread) = (self.started, request.spread.clamp(1, self.set.gateways));
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,8 @@
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// The ready ones, in the order in which they were last sampled.
     pub(crate) ready: Vec<ServerId>,
+    /// Those of them that are cold.
+    pub(crate) cold: Vec<ServerId>,
     /// The largest listed weight among them.
     pub(crate) heaviest: f64,
     /// How much longer than usual a zone or a kind of machine takes for a class, in usual times.
@@ -80,6 +82,7 @@
             started: 0.0,
             servers: BTreeMap::new(),
             ready: Vec::new(),
+            cold: Vec::new(),
             heaviest: 1.0,
             scopes: BTreeMap::new(),
             shared: false,
@@ -246,6 +249,15 @@
     }
 }
 
+impl GatewayId {
+    /// How far this gateway stands behind the first that fills a server while it is cold; all agree on it.
+    pub(crate) fn place_after(self, server: ServerId, gateways: u16) -> u16 {
+        let gateways = u64::from(gateways.max(1));
+        let first = (server.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32) % gateways;
+        ((u64::from(self.0) + gateways - first) % gateways) as u16
+    }
+}
+
 impl Ledger {
     /// A ledger with a store, whose denied askers are to keep away for `quiet`.
     pub(crate) fn new(store: Bucket, quiet: Millis) -> Self {
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -179,14 +179,15 @@
 fn one_that_starts_beside_many_is_not_pushed_over() {
     let (worst, sent) = worst(SERVERS, false, |_| Outcome::Served);
     assert!(worst < 0.9, "{worst} of what makes it fall");
-    assert!(sent > could() * 0.1, "{sent} of {}", could());
+    // Nor left idle beside others that carry its part: where most have just started, theirs would be too much.
+    assert!(sent > could() * 0.6, "{sent} of {}", could());
 }
 
 #[test]
 fn the_only_one_left_is_not_pushed_over() {
     let (worst, sent) = worst(1, false, |_| Outcome::Served);
     assert!(worst < 0.9, "{worst} of what makes it fall");
-    assert!(sent > could() * 0.1, "{sent} of {}", could());
+    assert!(sent > could() * 0.3, "{sent} of {}", could());
 }
 
 #[test]
