Tell pressure on asks and answers, and let cold real servers follow the load of late

And cold servers at a warmth of 0.63 get 0.27 of what a warm one gets: turn() goes by what warm ones took in 20 s, while the load has just moved to those that are left. Now asks and answers between an asker and a home carry the sender's pressure (one byte; messages without it are still read), and rooms go by 0.8 of what peers tell while it is fresh. Cold servers follow the larger of a 20 s and a 4 s memory, 0.6 of the budget at which they fall and 1.2 times what they can do at most.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,6 +60,8 @@
 const UNITS: [f64; 2] = [4.0, 2.0];
 /// What a cut leaves of the capacity.
 const CUT: f64 = 0.85;
+/// What the pressure that peers tell counts beside one's own.
+const PEERS_SEE: f64 = 0.8;
 /// Answers that take this part of their aims on average: pressure. An idle back end takes far less.
 const PRESSED: f64 = 0.3;
 /// What is out hangs where it takes this part of the aim to end, and that over so many is its mean age.
@@ -94,14 +96,15 @@
 const OUTLIER: f64 = 2.0;
 /// A server unreachable this long may have restarted unlisted: it is taken for cold when it answers.
 const UNLISTED_RESTART: Millis = 400.0;
-/// A cold server gets this part of the budget at which it falls, where warm ones are fully busy.
-const COLD_SHARE: f64 = 0.5;
+/// A cold server gets this part of the budget at which it falls, at most this multiple of what it can do, if
+/// warm ones are fully busy.
+const COLD_SHARE: (f64, f64) = (0.6, 1.2);
 /// The part of the largest request that each gateway which fills a cold server has in a window.
 const COLD_TURN: f64 = 1.0 / 3.0;
 /// Where nothing is known, it gets so many of the largest requests a fall window, from all together.
 const COLD_LEAST: f64 = 0.25;
 /// Memory of what a server takes: longer than a fleet is away, short beside a day.
-const TAKES_TAU: Millis = 20_000.0;
+const TAKES_TAU: [Millis; 2] = [20_000.0, 4000.0];
 /// What an attempt counts for at most in the time that a zone or a kind of machine takes, and what all would
 /// count for if all failed, in usual times.
 const FAILED: (f64, f64) = (8.0, 32.0);
@@ -218,21 +221,26 @@
     ///
     /// Prevents all gateways together from pushing it over. What warm servers serve of each gateway's work
     /// sums up to no more than they can do, whatever is sent, refused or asked again; for each of them, at
-    /// the cold one's warmth, it is what that can do, and stays when the others are gone. Of the budget that
-    /// makes it fall half is used where the warm ones are fully busy, less where they are less. So many
+    /// the cold one's warmth, it is what that can do. It stays when the others are gone, and rises at once
+    /// where more is left to few. Of the budget that
+    /// makes it fall 0.6 is used where the warm ones are fully busy, less where they are less. So many
     /// gateways fill it that each has a request's units a window, the same ones by all their reckoning: where
     /// each of a hundred sent by a small chance of its own, only a sixth could be used, for chance brings
     /// three times the mean now and then. One that restarts begins with nothing. Every attempt asks here:
     /// first, further, held or not. It could harm where a whole fleet starts: little is sent till it is warm.
     fn turn(&mut self, now: Millis, id: ServerId, units: f64) -> bool {
-        let takes = self.takes.map(|t| t.young(now, TAKES_TAU, (now - self.started).max(DEMAND_TAU)));
+        let life = (now - self.started).max(DEMAND_TAU);
+        let long = self.takes.map(|t| t.young(now, TAKES_TAU[0], life));
+        let short = self.takes_now.map(|t| t.young(now, TAKES_TAU[1], life));
+        let takes = [0, 1].map(|i| long[i].max(short[i]));
         let (cold, window) = (self.set.cold, self.set.cold.fall_window / 1000.0);
+        let share = (cold.fall_multiple * COLD_SHARE.0).min(COLD_SHARE.1);
         let (largest, gateways) = (self.set.largest.max(1.0), f64::from(self.set.gateways));
         let warmth = self.servers.get(&id).map_or(0.0, |s| self.warmth(now, s));
         let place = f64::from(self.set.me.place_after(id, self.set.gateways));
         let Some(server) = self.servers.get_mut(&id) else { return false };
         // A listed weight, perhaps a guess or of the moment, may lower a server's part, but not raise it.
-        let own = takes[0].min(takes[1] * server.weight()) * warmth * cold.fall_multiple * COLD_SHARE;
+        let own = takes[0].min(takes[1] * server.weight()) * warmth * share;
         let all = (own * gateways).max(COLD_LEAST * largest / window.max(0.001));
         let fillers = (all * window / (largest * COLD_TURN)).ceil().clamp(1.0, gateways);
         if place >= fillers {
@@ -403,6 +411,21 @@
         self.capacity.unwrap_or(start.max(2.0 * self.set.largest.max(1.0))).max(self.least())
     }
 
+    /// A peer told its pressure.
+    fn hear_pressure(&mut self, now: Millis, pressure: Option<f64>) {
+        let Some(pressure) = pressure else { return };
+        self.heard_pressure.add(pressure, WEIGHT);
+        self.heard_at = now;
+    }
+
+    /// How much of their aims answers take. Prevents gateways that see few answers each from cutting their
+    /// rooms by chance: what many peers see of the same back end counts for more, while it is fresh.
+    fn pressure(&self, now: Millis) -> f64 {
+        let own = self.taken.or(0.0);
+        let fresh = if now - self.heard_at < SHORT_TAU { PEERS_SEE } else { 0.0 };
+        own + (self.heard_pressure.or(own) - own) * fresh
+    }
+
     /// The least capacity. Prevents floors that together hold servers down when they are pressed.
     fn least(&self) -> f64 {
         (self.ready.len() as f64).max(1.0) * (UNITS[1] / f64::from(self.set.gateways)).min(1.0)
@@ -555,7 +578,8 @@
     fn put_ask(&mut self, now: Millis, of: &Request, to: (GatewayId, u64), again: bool, acts: &mut Acts) {
         let Some(customer) = self.customers.get_mut(&of.customer) else { return };
         let unasked = std::mem::take(&mut customer.unasked);
-        acts.push(Action::Tell(to.0, Mail::Ask { seq: to.1, of: of.ask(), unasked }.bytes()));
+        let pressure = Some(self.taken.or(0.0));
+        acts.push(Action::Tell(to.0, Mail::Ask { seq: to.1, of: of.ask(), unasked, pressure }.bytes()));
         acts.push(Action::SetTimer(ASK_WAIT, ASKED));
         self.asked.insert(to.1, Asked { request: of.id, home: to.0, at: now, again });
     }
@@ -744,7 +768,7 @@
         let left = open.deadline - now;
         let hurry = if self.lost.or(0.0) > LOST.0 { LOST.1 } else { 1.0 };
         let patience = (usual * PATIENCE.0).max(class.aim * PATIENCE.1) * hurry;
-        let well = self.retries >= 1.0 && self.taken.or(0.0) < PRESSED && patience + usual < left;
+        let well = self.retries >= 1.0 && self.pressure(now) < PRESSED && patience + usual < left;
         let more = open.attempts.len() + 1 < usize::from(self.set.max_attempts);
         let again = class.effect != Effect::Unsafe && well && more;
         // Prevents an answer that never comes from pinning a capped customer's attempts.
@@ -825,8 +849,10 @@
         // Work that cold, drained or gone ones finish says nothing of what a warm one takes.
         let warm = |s: &Server| s.entry.state == ServerState::Ready && self.warmth(now, s) >= 1.0;
         if served && self.servers.get(&end.server).is_some_and(warm) {
-            let add = |(takes, n): (&mut Rate, f64)| takes.add(now, request.units / n.max(0.01), TAKES_TAU);
-            self.takes.iter_mut().zip(self.size).for_each(add);
+            for (takes, tau) in [(&mut self.takes, TAKES_TAU[0]), (&mut self.takes_now, TAKES_TAU[1])] {
+                let add = |(takes, n): (&mut Rate, f64)| takes.add(now, request.units / n.max(0.01), tau);
+                takes.iter_mut().zip(self.size).for_each(add);
+            }
         }
         if let Some(server) = self.servers.get_mut(&end.server) {
             let times = served.then(|| (end.spent / usual).min(FAILED.0));
@@ -871,7 +897,7 @@
         self.ended.add(now, request.units, SHORT_TAU);
         let little = self.in_flight * 1000.0 / self.ended.young(now, SHORT_TAU, now - self.started);
         let waits = little.min(HANGING.1 * (now - self.sent_sum / self.in_flight.max(1e-9))) / aim;
-        let (capacity, taken) = (self.capacity(), self.taken.or(0.0));
+        let (capacity, taken) = (self.capacity(), self.pressure(now));
         let pause = self.mean_latency(request.class).min(aim * PRESSED);
         if (taken > PRESSED || waits > HANGING.0) && !silent && now - self.cut_at > pause {
             // From what is out, not from an estimate that was never tried: prevents one stuck high.
@@ -930,11 +956,14 @@
 
     fn on_home_mail(&mut self, now: Millis, from: GatewayId, mail: Option<Mail>, acts: &mut Acts) {
         match mail {
-            Some(Mail::Ask { seq, of, unasked }) if self.set.has(of.plan, of.class) => {
+            Some(Mail::Ask { seq, of, unasked, pressure }) if self.set.has(of.plan, of.class) => {
+                self.hear_pressure(now, pressure);
                 let (granted, more) = self.decide(now, (from, seq), &of, unasked);
-                acts.push(Action::Tell(from, Mail::Answer { seq, granted, more }.bytes()));
+                let pressure = Some(self.taken.or(0.0));
+                acts.push(Action::Tell(from, Mail::Answer { seq, granted, more, pressure }.bytes()));
             }
-            Some(Mail::Answer { seq, granted, more }) => {
+            Some(Mail::Answer { seq, granted, more, pressure }) => {
+                self.hear_pressure(now, pressure);
                 self.on_answer(now, (from, seq), granted, more, acts)
             }
             Some(Mail::Done { seq, customer }) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,9 @@
     pub(crate) cut_at: Millis,
     pub(crate) taken: Ewma,
     pub(crate) taken_at: Millis,
+    /// The same as peers tell it, and when one last did.
+    pub(crate) heard_pressure: Ewma,
+    pub(crate) heard_at: Millis,
     /// The part of the tries that call the counter.
     pub(crate) calls: f64,
     /// The part of the tries judged by a total that fit, by plan and by whether the client repeats itself.
@@ -65,6 +68,8 @@
     pub(crate) size: [f64; 2],
     /// What such served of this gateway's work, for each of them and for each unit of weight.
     pub(crate) takes: [Rate; 2],
+    /// The same of late: more is served of those that are left where many have gone.
+    pub(crate) takes_now: [Rate; 2],
     pub(crate) retries: f64,
 }
 
@@ -97,6 +102,8 @@
             cut_at: 0.0,
             taken: Ewma::default(),
             taken_at: 0.0,
+            heard_pressure: Ewma::default(),
+            heard_at: f64::NEG_INFINITY,
             calls: 1.0,
             fit: BTreeMap::new(),
             lost: Ewma::default(),
@@ -109,6 +116,7 @@
             reserved: 0.0,
             size: [0.0; 2],
             takes: [Rate::default(); 2],
+            takes_now: [Rate::default(); 2],
             retries: 0.0,
         }
     }
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -120,6 +120,28 @@
     assert_eq!((at_once(capped(10.0)), at_once(capped(20.0))), (10, 4));
 }
 
+/// How many requests of its own fit at gateway 0, whose answers took half of their aim, while its peers' took this part.
+fn room_beside(peers_take: f64) -> usize {
+    let mut fleet = Fleet::new(Plan { rate: 0.1, burst: 1e6, ..Plan::default() });
+    for _ in 0..60 {
+        for me in 0..MANY {
+            fleet.now += 2.0;
+            let (id, acts) = fleet.ask(me, 0, u64::from(me));
+            let acts: Vec<_> = acts.into_iter().map(|(_, act)| act).collect();
+            let Some(server) = sent(&acts) else { continue };
+            let took = AIM * if me == 0 { 0.5 } else { peers_take };
+            fleet.event(me, Event::AttemptEnded(ended(id, 0, server, Outcome::Served, took)));
+        }
+    }
+    (0..100).take_while(|i| sends(&fleet.ask(0, 0, 1000 + i).1) == 1).count()
+}
+
+#[test]
+fn a_few_slow_answers_at_one_gateway_do_not_cut_its_room_where_its_peers_see_none() {
+    let (alone, all) = (room_beside(0.1), room_beside(0.5));
+    assert!(alone >= 2 * all.max(1), "{alone} fit, {all} where all see slow answers");
+}
+
 #[test]
 fn many_gateways_keep_a_small_cap_and_get_its_places_back() {
     let mut fleet = Fleet::new(Plan { rate: 1000.0, burst: 1000.0, open_cap: 3.0, ..Plan::default() });
