Let the room follow what the listed real servers can do

At fault: rules.rs capacity(), whose learned value knows nothing of the list. Now a change in what the ready servers can do, cold ones by their warmth, scales the room at once, both ways.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -212,6 +212,13 @@
     fn size_up(&mut self, now: Millis) {
         let cold = |id: &&ServerId| self.servers.get(id).is_some_and(|s| self.warmth(now, s) < 1.0);
         self.cold = self.ready.iter().filter(cold).copied().collect();
+        // Prevents a room that was right for all from staying when most have gone: the list tells it before
+        // late answers do. It comes back as they warm.
+        let able = self.ready.iter().filter_map(|id| self.servers.get(id)).map(|s| self.warmth(now, s)).sum();
+        let before = std::mem::replace(&mut self.able, able);
+        if before > 0.0 && able > 0.0 {
+            self.capacity = self.capacity.map(|capacity| capacity * able / before);
+        }
         let ready = self.ready.iter().filter_map(|id| self.servers.get(id));
         let warm = ready.filter(|s| self.warmth(now, s) >= 1.0);
         self.size = warm.fold([0.0; 2], |[n, weights], s| [n + 1.0, weights + s.weight()]);
@@ -407,7 +414,7 @@
 
     fn capacity(&self) -> f64 {
         // To begin with there is room for a few requests: what all can do is not known yet.
-        let start = UNITS[0] * (self.ready.len() as f64).max(1.0) * self.few();
+        let start = UNITS[0] * self.able.max(1.0) * self.few();
         self.capacity.unwrap_or(start.max(2.0 * self.set.largest.max(1.0))).max(self.least())
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) peers: BTreeMap<GatewayId, Peer>,
     pub(crate) classes: Vec<ClassSeen>,
     pub(crate) capacity: Option<f64>,
+    /// What the ready servers can do, in warm ones.
+    pub(crate) able: f64,
     pub(crate) cut_at: Millis,
     pub(crate) taken: Ewma,
     pub(crate) taken_at: Millis,
@@ -99,6 +101,7 @@
             untold: BTreeSet::new(),
             peers: BTreeMap::new(),
             capacity: None,
+            able: 0.0,
             cut_at: 0.0,
             taken: Ewma::default(),
             taken_at: 0.0,
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -47,6 +47,24 @@
     assert!(sent(&bench.ask(1, 2, 1.0, 1).1).is_some(), "when all are silent they are still tried");
 }
 
+#[test]
+fn the_room_follows_the_list_before_late_answers_tell_that_most_servers_have_gone() {
+    let mut bench = Bench::new(settings(Plan { rate: 0.1, burst: 1e6, ..Plan::default() }), 10);
+    let fill = |bench: &mut Bench| -> Vec<_> {
+        let asked = std::iter::repeat_with(|| bench.ask(1, 0, 1.0, 1));
+        asked.map_while(|(id, acts)| Some((id, sent(&acts)?))).take(500).collect()
+    };
+    for (id, server) in fill(&mut bench) {
+        bench.end(id, 0, server, Outcome::Served, 50.0);
+    }
+    let all = fill(&mut bench);
+    all.iter().for_each(|(id, server)| drop(bench.end(*id, 0, *server, Outcome::Served, 50.0)));
+    let gone = (2..10).map(|n| ServerEntry { state: ServerState::Gone, ..entry(n) });
+    bench.event(Event::Servers(ListKind::Changes, gone.collect()));
+    let left = fill(&mut bench);
+    assert!(left.len() * 3 <= all.len() && !left.is_empty(), "{} before, {} left", all.len(), left.len());
+}
+
 #[test]
 fn one_slow_server_does_not_cut_the_capacity() {
     let mut bench = Bench::new(settings(Plan { rate: 0.1, burst: 1e6, ..Plan::default() }), 10);
