--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -203,6 +203,52 @@
     assert!(granted <= 28, "{granted} of a burst of 20");
 }
 
+#[test]
+fn empty_stale_and_repeated_lists_leave_every_request_answered_and_the_room_as_it_was() {
+    let room = |fleet: &mut Fleet, me: u16| {
+        let asked = (0..200).map(|i| fleet.ask(me, 0, 1000 + i).1);
+        asked.take_while(|acts| sends(acts) == 1).count()
+    };
+    let all = |kind| Event::Servers(kind, (0..20).map(entry).collect());
+    let mut fleet = Fleet::new(Plan { rate: 0.1, burst: 1e6, ..Plan::default() });
+    for me in 0..MANY {
+        fleet.event(me, all(ListKind::Full));
+        fleet.event(me, all(ListKind::Changes));
+    }
+    let (first, again) = (room(&mut fleet, 0), {
+        fleet.event(1, all(ListKind::Full));
+        room(&mut fleet, 1)
+    });
+    assert!(first > 0 && first.abs_diff(again) <= 3, "{first} and, with a list repeated, {again}");
+    for me in 0..MANY {
+        fleet.event(me, Event::Servers(ListKind::Full, Vec::new()));
+        let (_, acts) = fleet.ask(me, 0, u64::from(me));
+        assert!(answered(&acts) && sends(&acts) == 0, "{acts:?} without any server");
+        fleet.event(me, Event::Servers(ListKind::Failed, Vec::new()));
+        // Who comes back may have started anew: it is spared, and nobody waits.
+        fleet.event(me, all(ListKind::Full));
+        assert!(answered(&fleet.ask(me, 0, u64::from(me)).1));
+    }
+}
+
+#[test]
+fn whatever_peers_claim_of_the_pressure_a_gateway_goes_on_learning() {
+    let mut fleet = Fleet::new(Plan { rate: 0.1, burst: 1e6, ..Plan::default() });
+    let claim = [&[0, 1, 1, 0, 0, 4, 0][..], &[0xff, 0xff, 0xff, 0xff, 0x7f]].concat();
+    let mut served = 0;
+    for i in 0..400 {
+        fleet.now += 50.0;
+        fleet.event(0, Event::PeerMessage(GatewayId(7), claim.clone()));
+        let (id, acts) = fleet.ask(0, 0, i);
+        let acts: Vec<_> = acts.into_iter().map(|(_, act)| act).collect();
+        if let Some(server) = sent(&acts) {
+            fleet.event(0, Event::AttemptEnded(ended(id, 0, server, Outcome::Served, 20.0)));
+            served += u32::from(i >= 300);
+        }
+    }
+    assert!(served >= 10, "{served} of the last 100 were let in");
+}
+
 #[test]
 fn many_gateways_do_not_push_a_cold_server_over() {
     let mut fleet = Fleet::new(Plan { rate: 1e6, burst: 1e6, ..Plan::default() });
