Let each gateway of many send to sixteen of the warm real servers, spread evenly

At fault: rules.rs pick(), which draws from all. Now the servers that come first at a gateway are picked by the place that also says who fills a cold one; each server is near to as many gateways. Where none of the sixteen is well, all are looked at.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -84,6 +84,8 @@
 const CHOICES: (usize, usize) = (6, 24);
 /// What an idle server counts beside attempts out by weight: little, so that one more out tells much.
 const IDLE: f64 = 0.4;
+/// So many of the warm servers a gateway of many sends to, as long as any of them is well.
+const NEAR: f64 = 16.0;
 /// A server in another zone must be better by this factor, where crossing has a price.
 const ZONE_FACTOR: f64 = 1.25;
 /// Failures in a row that eject a server (a failed connection at once), for how long at first and at most.
@@ -222,6 +224,13 @@
         let ready = self.ready.iter().filter_map(|id| self.servers.get(id));
         let warm = ready.filter(|s| self.warmth(now, s) >= 1.0);
         self.size = warm.fold([0.0; 2], |[n, weights], s| [n + 1.0, weights + s.weight()]);
+        // Prevents many gateways, each of which meets a server once in a while, from a handshake for every
+        // other request. Each server is near to as many of them, so the load stays even.
+        let near = f64::from(self.set.gateways) * NEAR / self.size[0].max(NEAR);
+        let few = f64::from(self.set.gateways) <= FEW;
+        let place = |id: ServerId| f64::from(self.set.me.place_after(id, self.set.gateways));
+        let is_near = |id: &&ServerId| !few && !self.cold.contains(id) && place(**id) < near;
+        self.near = self.ready.iter().filter(is_near).copied().collect();
     }
 
     /// Whether a cold server is to get a request of these units now; a yes uses its turn.
@@ -291,7 +300,29 @@
         {
             return Some(id);
         }
-        let (own, mut from) = (group.is_none(), group.unwrap_or_else(|| std::mem::take(&mut self.ready)));
+        if let Some(mut group) = group {
+            return self.best_of(now, open, &mut group, (false, true));
+        }
+        let mut near = std::mem::take(&mut self.near);
+        let found = self.best_of(now, open, &mut near, (true, false));
+        self.near = near;
+        found.or_else(|| {
+            let mut ready = std::mem::take(&mut self.ready);
+            let found = self.best_of(now, open, &mut ready, (true, true));
+            self.ready = ready;
+            found
+        })
+    }
+
+    /// The best of some servers, looked at in any order; `own` ones have had their turns asked for. Where
+    /// these are not all there are, none that looks bad.
+    fn best_of(
+        &mut self,
+        now: Millis,
+        open: &Open,
+        from: &mut [ServerId],
+        (own, all): (bool, bool),
+    ) -> Option<ServerId> {
         let (mut best, mut choices, mut bads): (Option<(Rank, ServerId)>, _, _) = (None, 0, 0);
         // Sampled before ranking: no pass over all servers for each request.
         for k in 0..from.len().min(CHOICES.1) {
@@ -319,10 +350,7 @@
         }
         // Prevents the ejection of the whole fleet: when nearly all look bad, the trouble is shared.
         let all_bad = f64::from(bads) > EJECT_SHARE * from.len().min(CHOICES.1) as f64;
-        if own {
-            self.ready = from;
-        }
-        best.filter(|((bad, ..), _)| !bad || all_bad).map(|(_, id)| id)
+        best.filter(|((bad, ..), _)| !bad || (all && all_bad)).map(|(_, id)| id)
     }
 
     /// A cold server whose turn it is. They come first: the few gateways that fill one see too little to do
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,8 @@
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// The ready ones, in the order in which they were last sampled.
     pub(crate) ready: Vec<ServerId>,
+    /// Those of the warm ones that come first here.
+    pub(crate) near: Vec<ServerId>,
     /// Those of them that are cold.
     pub(crate) cold: Vec<ServerId>,
     /// The largest listed weight among them.
@@ -89,6 +91,7 @@
             started: 0.0,
             servers: BTreeMap::new(),
             ready: Vec::new(),
+            near: Vec::new(),
             cold: Vec::new(),
             heaviest: 1.0,
             scopes: BTreeMap::new(),
@@ -264,7 +267,8 @@
     /// How far this gateway stands behind the first that fills a server while it is cold; all agree on it.
     pub(crate) fn place_after(self, server: ServerId, gateways: u16) -> u16 {
         let gateways = u64::from(gateways.max(1));
-        let first = (server.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32) % gateways;
+        // By the upper bits: they are spread evenly whatever the ids are.
+        let first = ((server.0.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32) * gateways) >> 32;
         ((u64::from(self.0) + gateways - first) % gateways) as u16
     }
 }
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -18,6 +18,11 @@
 
 impl Fleet {
     fn new(plan: Plan) -> Self {
+        Self::before(20, plan)
+    }
+
+    /// A fleet before so many servers.
+    fn before(servers: u64, plan: Plan) -> Self {
         let set = Settings { gateways: MANY, peers: true, mail_per_second: 40.0, ..settings(plan) };
         let limiter =
             |me: u16| Limiter::new(Settings { me: GatewayId(me), ..set.clone() }, 7 + u64::from(me));
@@ -29,7 +34,7 @@
         };
         for me in 0..MANY {
             fleet.event(me, Event::Start);
-            fleet.event(me, Event::Servers(ListKind::Cached, (0..20).map(entry).collect()));
+            fleet.event(me, Event::Servers(ListKind::Cached, (0..servers).map(entry).collect()));
         }
         fleet
     }
@@ -231,6 +236,47 @@
     }
 }
 
+/// A fleet before 60 servers that serve, asked `rounds` times at each gateway; what each sent where.
+fn spread(rounds: u64) -> Vec<std::collections::BTreeMap<ServerId, usize>> {
+    let mut fleet = Fleet::before(60, Plan { rate: 1e6, burst: 1e6, ..Plan::default() });
+    let mut at = vec![(0..60).map(|n| (ServerId(n), 0)).collect::<std::collections::BTreeMap<_, _>>(); 120];
+    for me in (0..rounds).flat_map(|_| 0..MANY) {
+        fleet.now += 2.0;
+        let (id, acts) = fleet.ask(me, 0, u64::from(me));
+        let acts: Vec<_> = acts.into_iter().map(|(_, act)| act).collect();
+        if let Some(server) = sent(&acts) {
+            *at[usize::from(me)].get_mut(&server).unwrap() += 1;
+            fleet.event(me, Event::AttemptEnded(ended(id, 0, server, Outcome::Served, 50.0)));
+        }
+    }
+    at
+}
+
+#[test]
+fn each_of_many_gateways_sends_to_few_servers_and_all_together_to_all_alike() {
+    let at = spread(60);
+    let known = |at: &std::collections::BTreeMap<_, _>| at.values().filter(|n| **n > 0).count();
+    let (sum, most) = (at.iter().map(known).sum::<usize>(), at.iter().map(known).max().unwrap());
+    assert!(sum <= 18 * at.len() && most <= 30, "{} servers on average, {most} at most", sum / at.len());
+    let loads: Vec<usize> = (0..60).map(|n| at.iter().map(|at| at[&ServerId(n)]).sum()).collect();
+    let (least, most) = (loads.iter().min().unwrap(), loads.iter().max().unwrap());
+    assert!(3 * least >= *most, "{loads:?}");
+}
+
+#[test]
+fn where_all_servers_that_come_first_fail_the_others_are_sent_to() {
+    let plan = Plan { rate: 1e6, burst: 1e6, ..Plan::default() };
+    let mut bench = Bench::new(Settings { gateways: MANY, ..settings(plan) }, 60);
+    let mut tried = std::collections::BTreeSet::new();
+    for _ in 0..60 {
+        let (id, acts) = bench.wait(1.0).ask(1, 2, 1.0, 1);
+        let Some(server) = sent(&acts) else { continue };
+        tried.insert(server);
+        bench.end(id, 0, server, Outcome::ConnectFailed, 1.0);
+    }
+    assert!(tried.len() > 20, "{tried:?}");
+}
+
 #[test]
 fn whatever_peers_claim_of_the_pressure_a_gateway_goes_on_learning() {
     let mut fleet = Fleet::new(Plan { rate: 0.1, burst: 1e6, ..Plan::default() });
