--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 //! JSON, an operator's TOML and the simulator's text all become pairs of path and value first.
 
 use crate::interface::{Class, ColdStart, Effect, GatewayId, Group, Millis, Plan, Settings, ZoneId};
+use crate::management::CALLERS;
 use crate::net::discovery::List;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
@@ -260,6 +261,8 @@
     pub seed: u64,
     /// Limits that the machine sets.
     pub limits: Limits,
+    /// Where operators call, if they may.
+    pub management: Option<SocketAddr>,
     /// Where messages of peers arrive.
     pub peer_listen: Option<SocketAddr>,
     /// The peers, this instance included, by their numbers.
@@ -280,11 +283,13 @@
             Some(seed) => u64::from_str_radix(&seed, 16).map_err(|_| unreadable("seed", &seed))?,
             None => RandomState::new().hash_one(std::process::id()),
         };
+        let management = pairs.get("management")?;
         let this = Self {
             name: pairs.need("name")?,
             listen: pairs.need("listen")?,
             seed,
-            limits: Limits::read(pairs, "limits")?,
+            limits: Limits::read(pairs, "limits")?.less(management.map_or(0, |_| DOOR)),
+            management,
             peer_listen: pairs.get("peer_listen")?,
             peers: pairs.list("peers")?,
             counter: pairs.get("counter")?,
@@ -334,6 +339,8 @@
 /// Descriptors kept for the listener, discovery, the counter, peers, signals, the log and the runtime, each of them
 /// twice while one takes another's place.
 const RESERVE: usize = 16;
+/// Those kept for operators: the door, its callers, and what a change of processes takes.
+const DOOR: usize = CALLERS + 4;
 /// Of the others client connections get the first share, those whose flows are turned away the second, connections
 /// to real servers the third. Clients hold at most a third of all for flows: there is room for those, for others
 /// beside them, and for a connection to a real server for each.
@@ -358,6 +365,11 @@
         Ok(Self { memory_mb, sockets: at_least("sockets", USUAL.sockets, LEAST.sockets)? })
     }
 
+    /// Without so many descriptors that are kept for something else.
+    fn less(self, descriptors: usize) -> Self {
+        Self { sockets: self.sockets.saturating_sub(descriptors).max(LEAST.sockets / 2), ..self }
+    }
+
     /// The most connections of clients, of such to be turned away, and to real servers: what descriptors and a
     /// third of the memory allow.
     pub fn connections(&self) -> [usize; 3] {
@@ -419,9 +431,12 @@
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let json: Value = serde_json::from_str(text).map_err(|e| ConfigError(format!("not JSON: {e}")))?;
         let mut pairs = Pairs::from_json(&json);
-        for (name, key) in
-            [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")]
-        {
+        for (name, key) in [
+            ("RELAY_NAME", "name"),
+            ("RELAY_LISTEN", "listen"),
+            ("RELAY_DISCOVERY", "discovery"),
+            ("RELAY_MANAGEMENT", "management"),
+        ] {
             if let Some(value) = env(name) {
                 pairs.0.insert(key.to_owned(), value);
             }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -2,8 +2,9 @@
 //! it that every flow gets one final answer, before its deadline.
 
 use crate::deadlines::{Deadlines, Due, Key};
-use crate::exchange::{Call, News, Order, Report, Verdict};
+use crate::exchange::{Call, News, Operation, Order, Report, Standing, Verdict};
 use crate::interface::*;
+use crate::maintenance::Maintenance;
 use crate::net::discovery::List;
 use crate::state::Limiter;
 use slog::{Logger, debug, info, warn};
@@ -80,6 +81,7 @@
 /// The engine of one ingress.
 pub struct Engine<Q, A> {
     limiter: Limiter,
+    maintenance: Maintenance,
     deadlines: Deadlines,
     news: mpsc::UnboundedReceiver<News<Q, A>>,
     outlets: Outlets<Q>,
@@ -95,9 +97,9 @@
 }
 
 impl<Q: Clone, A> Engine<Q, A> {
-    /// An engine round a limiter.
+    /// An engine round a limiter, with the bans that hold.
     pub fn new(
-        limiter: Limiter,
+        (limiter, maintenance): (Limiter, Maintenance),
         deadlines: Deadlines,
         news: mpsc::UnboundedReceiver<News<Q, A>>,
         outlets: Outlets<Q>,
@@ -106,7 +108,21 @@
     ) -> Self {
         let now = deadlines.clock().now();
         let (flows, calls, own, tally) = Default::default();
-        Self { limiter, deadlines, news, outlets, bounds, flows, calls, next_call: 0, now, own, tally, log }
+        Self {
+            limiter,
+            maintenance,
+            deadlines,
+            news,
+            outlets,
+            bounds,
+            flows,
+            calls,
+            next_call: 0,
+            now,
+            own,
+            tally,
+            log,
+        }
     }
 
     /// Starts from the list that was known last, if any, and runs until every way in is closed.
@@ -195,10 +211,32 @@
                     self.feed(Event::Counted(name, answer));
                 }
             }
+            News::Operate(operation, reply) => {
+                // Whoever asked has its answer after all that follows is carried out.
+                let done = self.operate(operation);
+                let _ = reply.send(done);
+            }
+        }
+    }
+
+    fn operate(&mut self, operation: Operation) -> Result<Standing, &'static str> {
+        let change = match operation {
+            Operation::Look => None,
+            Operation::Disable(name) => self.maintenance.disable(&name)?,
+            Operation::Enable(name) => self.maintenance.enable(&name)?,
+        };
+        if let Some(change) = change {
+            self.believe(change, ListKind::Changes);
         }
+        Ok(Standing { members: self.limiter.members(self.now), bans: self.maintenance.bans() })
     }
 
     fn listed(&mut self, list: List, kind: ListKind) {
+        let list = self.maintenance.listed(list);
+        self.believe(list, kind);
+    }
+
+    fn believe(&mut self, list: List, kind: ListKind) {
         let entries = list.entries.iter().map(|e| e.entry).collect();
         // The client side learns it first: nothing that waits there starts on a drained real server.
         self.order(Order::List(list));
@@ -407,7 +445,14 @@
         let outlets = Outlets { orders: order, counter: Some(call), peers: None };
         let bounds = Bounds { flows, schedulings: 2, counter_timeout: 10.0, retry_after: 700.0 };
         let log = Logger::root(slog::Discard, slog::o!());
-        let engine = Engine::new(limiter, Deadlines::new(Clock::new()), news, outlets, bounds, log);
+        let engine = Engine::new(
+            (limiter, Maintenance::default()),
+            Deadlines::new(Clock::new()),
+            news,
+            outlets,
+            bounds,
+            log,
+        );
         let entry = ServerEntry {
             server: server_id("s1"),
             state: ServerState::Ready,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::*;
 use crate::net::discovery::List;
+use crate::stats::{End, Members};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -47,6 +48,17 @@
     },
 }
 
+impl<A> Verdict<A> {
+    /// What it counts as.
+    pub fn end(&self) -> End {
+        match self {
+            Self::Served(_) => End::Completed,
+            Self::TurnDown(_) | Self::NoRoom(_) => End::Rejected,
+            Self::Failed { .. } => End::Failed,
+        }
+    }
+}
+
 /// How a scheduling ended.
 #[derive(Debug)]
 pub struct Report<A> {
@@ -77,6 +89,28 @@
     Heard(GatewayId, Vec<u8>),
     /// The counter answered a call.
     Counted(u64, CounterAnswer),
+    /// An operator wants something, and is owed an answer.
+    Operate(Operation, oneshot::Sender<Result<Standing, &'static str>>),
+}
+
+/// What an operator may want of the engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Operation {
+    /// To see how things stand.
+    Look,
+    /// To take the real server of this name out.
+    Disable(String),
+    /// To put it back.
+    Enable(String),
+}
+
+/// How things stand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// The real servers.
+    pub members: Members,
+    /// The names of those that are out by hand.
+    pub bans: Vec<String>,
 }
 
 /// What the engine wants of the client side, in order.
--- a/src/fronts/ext_authz/authorisers.rs
+++ b/src/fronts/ext_authz/authorisers.rs
@@ -10,6 +10,7 @@
 use crate::net::http::BODY;
 use crate::net::schedulings::{Ending, Job, Schedulings, Stage};
 use crate::net::stream::connect;
+use crate::stats::Stats;
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use hyper::body::Incoming;
@@ -23,6 +24,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::{Mutex, mpsc};
@@ -50,6 +52,7 @@
     schedulings: Schedulings<Check, Bytes, Link>,
     deadlines: Deadlines,
     site: Site,
+    stats: Arc<Stats>,
     log: Logger,
 }
 
@@ -59,8 +62,14 @@
 
 impl Authorisers {
     /// A client side without connections.
-    pub fn new(exchange: Exchange<Check, Bytes>, deadlines: Deadlines, site: Site, log: Logger) -> Self {
-        Self(Rc::new(Inner { schedulings: Schedulings::new(exchange), deadlines, site, log }))
+    pub fn new(
+        exchange: Exchange<Check, Bytes>,
+        deadlines: Deadlines,
+        site: Site,
+        stats: Arc<Stats>,
+        log: Logger,
+    ) -> Self {
+        Self(Rc::new(Inner { schedulings: Schedulings::new(exchange), deadlines, site, stats, log }))
     }
 
     /// Carries out orders until there are no more.
@@ -116,6 +125,7 @@
         request.set_timeout(timeout_of(wait));
         // From here on the connection may write it at any moment.
         stage.set(Stage::Written);
+        self.stats.written();
         match call(sender, at, request).await {
             // Garbage is no verdict.
             Ok(answer) if CheckResponse::decode(answer.clone()).is_err() => Ending::badly(Outcome::Error),
--- a/src/fronts/ext_authz/service.rs
+++ b/src/fronts/ext_authz/service.rs
@@ -4,6 +4,8 @@
 use super::{Check, Front};
 use crate::exchange::Exchange;
 use crate::net::http::BODY;
+use crate::net::server_side::{Drain, Phase, Signals};
+use crate::stats::Stats;
 use bytes::Bytes;
 use slog::{Logger, info, warn};
 use std::convert::Infallible;
@@ -16,7 +18,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::task::JoinSet;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::body::Body;
 use tonic::server::{Grpc, UnaryService};
@@ -32,6 +35,8 @@
 const WINDOWS: (u32, u32) = (64 * 1024, 128 * 1024);
 /// A caller that has connected and says nothing for this long is closed: prevents silent ones from holding the room.
 const SILENT: Duration = Duration::from_millis(2500);
+/// While an operator drains, a caller that comes all the same is told so after this.
+const DRAINED_AGE: Duration = Duration::from_millis(500);
 /// A caller is asked for a sign of life so often, and closed when none comes for so long.
 const PING: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(5));
 
@@ -42,12 +47,13 @@
 pub struct CheckService {
     front: Arc<Front>,
     exchange: Exchange<Check, Bytes>,
+    stats: Arc<Stats>,
 }
 
 impl CheckService {
     /// A service that hands its checks in at the exchange.
-    pub fn new(front: Arc<Front>, exchange: Exchange<Check, Bytes>) -> Self {
-        Self { front, exchange }
+    pub fn new(front: Arc<Front>, exchange: Exchange<Check, Bytes>, stats: Arc<Stats>) -> Self {
+        Self { front, exchange, stats }
     }
 }
 
@@ -62,7 +68,9 @@
             let check = Check { message, metadata };
             let terms = this.front.read(&check)?;
             // A caller that cancels drops this future, and with it the flow.
+            let taken = this.stats.take(terms.class);
             let verdict = this.exchange.arrive(terms, check).await;
+            taken.ended(verdict.end());
             Ok(Response::new(this.front.word(verdict)))
         })
     }
@@ -90,17 +98,49 @@
     }
 }
 
-/// Serves until `stop`, and then until all that was taken is answered. At most so many connections are held, each of
-/// them for so long.
+/// Serves until the phase says to drain, and then until all that was taken is answered. At most so many connections are
+/// held, each of them for so long. When an operator drains, callers are told to connect elsewhere, once their checks
+/// are answered; who comes all the same is served, and told the same soon.
 pub async fn serve(
     service: CheckService,
     listener: TcpListener,
     (most, age): (usize, Duration),
+    signals: Signals,
+    log: Logger,
+) -> Result<(), tonic::transport::Error> {
+    let (listener, room) = (Arc::new(listener), Arc::new(Semaphore::new(most)));
+    let Signals { mut phase, mut drain } = signals;
+    let mut served = JoinSet::new();
+    loop {
+        let drained = *drain.borrow_and_update() == Drain::Closing;
+        let (end, ended) = oneshot::channel::<()>();
+        let stop = async move { drop(ended.await) };
+        let age = if drained { age.min(DRAINED_AGE) } else { age };
+        let one = serve_until(service.clone(), listener.clone(), (room.clone(), age), stop, log.clone());
+        served.spawn_local(one);
+        tokio::select! {
+            _ = phase.wait_for(|phase| *phase == Phase::Draining) => {
+                drop(end);
+                while let Some(done) = served.join_next().await {
+                    done.unwrap_or(Ok(()))?;
+                }
+                return Ok(());
+            }
+            Ok(_) = drain.wait_for(|drain| (*drain == Drain::Closing) != drained) => drop(end),
+            Some(Ok(Err(e))) = served.join_next() => return Err(e),
+        }
+    }
+}
+
+async fn serve_until(
+    service: CheckService,
+    listener: Arc<TcpListener>,
+    (room, age): (Arc<Semaphore>, Duration),
     stop: impl Future<Output = ()>,
     log: Logger,
 ) -> Result<(), tonic::transport::Error> {
     let (sender, connections) = mpsc::channel(1);
-    let accepting = tokio::spawn(accept(listener, most, sender, log));
+    let accepting = tokio::spawn(accept(listener, room, sender, log));
     let connections = ReceiverStream::new(connections);
     let server = Server::builder()
         .max_concurrent_streams(STREAMS)
@@ -117,12 +157,11 @@
 
 /// Takes connections in, up to the most; others wait in the backlog, so that descriptors are left for all else.
 async fn accept(
-    listener: TcpListener,
-    most: usize,
+    listener: Arc<TcpListener>,
+    room: Arc<Semaphore>,
     connections: mpsc::Sender<io::Result<Counted>>,
     log: Logger,
 ) {
-    let room = Arc::new(Semaphore::new(most));
     while let Ok(permit) = room.clone().acquire_owned().await {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,12 +11,15 @@
 pub mod fronts;
 pub mod interface;
 mod mail;
+pub mod maintenance;
+pub mod management;
 pub mod net;
 pub mod node;
 pub mod pacing;
 mod prng;
 pub mod rules;
 mod state;
+pub mod stats;
 mod window;
 
 pub use interface::{Action, Event, Settings};
--- /dev/null
+++ b/src/management.rs
@@ -0,0 +1,279 @@
+//! The operators' door: one line in, one answer out, whatever the load. It has descriptors of its own, and whoever
+//! stays there without a whole line makes room for others.
+
+use crate::deadlines::Deadlines;
+use crate::exchange::{Operation, Standing};
+use crate::interface::Millis;
+use crate::maintenance::write_bans;
+use crate::net::server_side::{Drain, Phase};
+use crate::stats::Stats;
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::{AbortHandle, spawn_local};
+
+/// Callers at once.
+pub const CALLERS: usize = 8;
+/// The longest line of a call.
+const LINE: usize = 256;
+/// Who says nothing, or half a call, is closed after this.
+const SILENT: Millis = 5000.0;
+/// The engine's answer comes by then, or a `fail` goes out: an answer is due within 1 s.
+const ANSWER: Millis = 800.0;
+/// After its answer a connection is read out for so long: a reset would take the answer from the caller.
+const LINGER: Millis = 500.0;
+/// A drain is announced for so long before connections are closed: the front takes a moment to see it.
+const ANNOUNCE: Millis = 550.0;
+
+/// A call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Whether the process can serve.
+    Ready,
+    /// The figures.
+    ShowStat,
+    /// Something that the engine does.
+    Operate(Operation),
+    /// Send clients away.
+    Drain,
+    /// The end of that.
+    Resume,
+}
+
+impl Call {
+    /// Reads a line without its end.
+    pub fn read(line: &[u8]) -> Result<Self, &'static str> {
+        let text = std::str::from_utf8(line).map_err(|_| "unreadable call")?;
+        let mut words = text.split_ascii_whitespace();
+        let (call, id, more) = (words.next(), words.next(), words.next());
+        match (call, id, more) {
+            (Some("ready"), None, None) => Ok(Self::Ready),
+            (Some("show-stat"), None, None) => Ok(Self::ShowStat),
+            (Some("drain"), None, None) => Ok(Self::Drain),
+            (Some("resume"), None, None) => Ok(Self::Resume),
+            (Some("disable-server"), Some(id), None) => Ok(Self::Operate(Operation::Disable(id.to_owned()))),
+            (Some("enable-server"), Some(id), None) => Ok(Self::Operate(Operation::Enable(id.to_owned()))),
+            (Some("disable-server" | "enable-server"), ..) => Err("one server id is needed"),
+            (Some("ready" | "show-stat" | "drain" | "resume"), ..) => Err("the call takes nothing more"),
+            (None, ..) => Err("an empty call"),
+            _ => Err("unknown call"),
+        }
+    }
+}
+
+/// What the engine makes of an operation.
+pub type Told = Result<Standing, &'static str>;
+/// The way to the engine.
+pub type Engine = Box<dyn Fn(Operation) -> Pin<Box<dyn Future<Output = Told>>>>;
+
+/// What the door opens on.
+pub struct Door {
+    /// The figures.
+    pub stats: Arc<Stats>,
+    /// How far the program is.
+    pub phase: watch::Receiver<Phase>,
+    /// The drain of this instance.
+    pub drain: watch::Sender<Drain>,
+    /// The engine.
+    pub engine: Engine,
+    /// Where bans are kept for the process that comes next.
+    pub bans: Option<PathBuf>,
+    /// The deadlines.
+    pub deadlines: Deadlines,
+    /// Where calls are logged.
+    pub log: Logger,
+}
+
+/// Writes a file whole or not at all.
+pub fn write_whole(path: &Path, text: &str) -> io::Result<()> {
+    let part = path.with_extension("part");
+    std::fs::write(&part, text)?;
+    std::fs::rename(&part, path)
+}
+
+struct Callers {
+    door: Door,
+    open: Cell<usize>,
+    closed: Notify,
+    /// Those that have sent no whole line, the oldest first; one is closed by dropping its sender.
+    silent: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
+    announced: RefCell<Option<AbortHandle>>,
+}
+
+impl Door {
+    /// Answers callers for ever.
+    pub async fn run(self, listener: TcpListener) {
+        let callers = Rc::new(Callers {
+            door: self,
+            open: Cell::new(0),
+            closed: Notify::new(),
+            silent: RefCell::default(),
+            announced: RefCell::default(),
+        });
+        for number in 0.. {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    warn!(callers.door.log, "an operator's connection could not be accepted"; "error" => %e);
+                    callers.door.deadlines.sleep(50.0).await;
+                    continue;
+                }
+            };
+            let (stay, go) = oneshot::channel();
+            callers.silent.borrow_mut().insert(number, stay);
+            callers.open.set(callers.open.get() + 1);
+            spawn_local(callers.clone().serve(stream, number, go));
+            while callers.open.get() >= CALLERS {
+                // Prevents callers that say nothing from keeping others out; the last one to come has just come.
+                let others = callers.silent.borrow().len() > 1;
+                let first = others.then(|| callers.silent.borrow_mut().pop_first()).flatten();
+                drop(first);
+                callers.closed.notified().await;
+            }
+        }
+    }
+}
+
+impl Callers {
+    async fn serve(self: Rc<Self>, mut stream: TcpStream, number: u64, go: oneshot::Receiver<()>) {
+        let line = tokio::select! {
+            line = self.door.deadlines.within(SILENT, line(&mut stream)) => line.flatten(),
+            _ = go => None,
+        };
+        self.silent.borrow_mut().remove(&number);
+        if let Some(line) = line {
+            let answer = match line.and_then(|line| Call::read(&line)) {
+                Ok(call) => self.answer(call).await,
+                Err(why) => format!("fail {why}\n"),
+            };
+            let said = async {
+                stream.write_all(answer.as_bytes()).await?;
+                stream.shutdown().await?;
+                let mut rest = [0; 256];
+                while stream.read(&mut rest).await? > 0 {}
+                io::Result::Ok(())
+            };
+            self.door.deadlines.within(LINGER, said).await;
+        }
+        self.open.set(self.open.get() - 1);
+        self.closed.notify_one();
+    }
+
+    async fn answer(&self, call: Call) -> String {
+        match call {
+            Call::Ready => match *self.door.phase.borrow() {
+                Phase::Serving => "ok ready\n".to_owned(),
+                _ => "fail not ready\n".to_owned(),
+            },
+            Call::ShowStat => match self.engine(Operation::Look).await {
+                Ok(standing) => format!("{}eof\n", self.door.stats.text(standing.members)),
+                Err(why) => format!("fail {why}\n"),
+            },
+            Call::Operate(operation) => {
+                let log = &self.door.log;
+                match &operation {
+                    Operation::Disable(id) => info!(log, "an operator takes a real server out"; "id" => id),
+                    Operation::Enable(id) => info!(log, "an operator puts a real server back"; "id" => id),
+                    Operation::Look => {}
+                }
+                match self.engine(operation).await {
+                    Ok(standing) => {
+                        self.keep(&standing.bans);
+                        "ok\n".to_owned()
+                    }
+                    Err(why) => format!("fail {why}\n"),
+                }
+            }
+            Call::Drain => {
+                self.drain();
+                "ok draining\n".to_owned()
+            }
+            Call::Resume => {
+                self.announced.borrow_mut().take().inspect(AbortHandle::abort);
+                if self.door.drain.send_replace(Drain::No) != Drain::No {
+                    info!(self.door.log, "an operator ends the drain");
+                }
+                "ok\n".to_owned()
+            }
+        }
+    }
+
+    async fn engine(&self, operation: Operation) -> Told {
+        let answer = (self.door.engine)(operation);
+        self.door.deadlines.within(ANSWER, answer).await.unwrap_or(Err("no answer in time"))
+    }
+
+    /// Sends clients away: first `/ready` says so, then their connections are closed after their answers.
+    fn drain(&self) {
+        if *self.door.drain.borrow() != Drain::No {
+            return;
+        }
+        info!(self.door.log, "an operator drains this instance");
+        self.door.drain.send_replace(Drain::Announced);
+        let (drain, pause) = (self.door.drain.clone(), self.door.deadlines.sleep(ANNOUNCE));
+        let task = spawn_local(async move {
+            pause.await;
+            drain.send_replace(Drain::Closing);
+        });
+        *self.announced.borrow_mut() = Some(task.abort_handle());
+    }
+
+    fn keep(&self, bans: &[String]) {
+        let Some(path) = &self.door.bans else { return };
+        if let Err(e) = write_whole(path, &write_bans(bans)) {
+            warn!(self.door.log, "bans could not be kept"; "error" => %e);
+        }
+    }
+}
+
+/// A caller's line without its end; none where it ends its connection first.
+async fn line(stream: &mut TcpStream) -> Option<Result<Vec<u8>, &'static str>> {
+    let mut line = Vec::with_capacity(LINE);
+    loop {
+        if let Some(end) = line.iter().position(|b| *b == b'\n') {
+            line.truncate(end);
+            return Some(Ok(line));
+        }
+        if line.len() >= LINE {
+            return Some(Err("the line is too long"));
+        }
+        if stream.read_buf(&mut line).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_with_either_end_of_line_and_nothing_else_is_one() {
+        let operate = |operation| Ok(Call::Operate(operation));
+        assert_eq!(Call::read(b"ready"), Ok(Call::Ready));
+        assert_eq!(Call::read(b" show-stat \r"), Ok(Call::ShowStat));
+        assert_eq!(Call::read(b"disable-server s-1\r"), operate(Operation::Disable("s-1".into())));
+        assert_eq!(Call::read(b"enable-server s-1"), operate(Operation::Enable("s-1".into())));
+        assert_eq!((Call::read(b"drain"), Call::read(b"resume\r")), (Ok(Call::Drain), Ok(Call::Resume)));
+        let odd: [&[u8]; 7] =
+            [b"", b"\r", b"READY", b"ready now", b"disable-server", b"enable-server a b", b"\xff\xfe"];
+        assert!(odd.iter().all(|line| Call::read(line).is_err()));
+    }
+
+    #[test]
+    fn garbage_is_no_call_and_no_panic() {
+        fn garbage(line: Vec<u8>) -> bool {
+            Call::read(&line).is_err() || line.is_ascii()
+        }
+        let gen_ = quickcheck::Gen::from_size_and_seed(200, 11);
+        quickcheck::QuickCheck::new().rng(gen_).tests(400).quickcheck(garbage as fn(Vec<u8>) -> bool);
+    }
+}
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -9,6 +9,7 @@
 use crate::deadlines::Deadlines;
 use crate::exchange::{Exchange, Order};
 use crate::interface::*;
+use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
 use slog::{Logger, debug};
 use socket2::SockRef;
@@ -18,6 +19,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
@@ -57,6 +59,7 @@
     budget: Budget,
     deadlines: Deadlines,
     site: Site,
+    stats: Arc<Stats>,
     log: Logger,
 }
 
@@ -71,10 +74,11 @@
         deadlines: Deadlines,
         site: Site,
         (most, budget): (usize, Budget),
+        stats: Arc<Stats>,
         log: Logger,
     ) -> Self {
         let (schedulings, open) = (Schedulings::new(exchange), Cell::new(0));
-        Self(Rc::new(Inner { schedulings, open, most, budget, deadlines, site, log }))
+        Self(Rc::new(Inner { schedulings, open, most, budget, deadlines, site, stats, log }))
     }
 
     /// Carries out orders until there are no more.
@@ -213,6 +217,7 @@
         }
         drop(bytes);
         stage.set(Stage::Written);
+        self.stats.written();
         let (mut held, mut read) = (self.budget.hold(), 0);
         loop {
             let before = buffer.len();
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -8,12 +8,14 @@
 use crate::deadlines::Deadlines;
 use crate::exchange::{Exchange, Terms, Verdict};
 use crate::interface::Millis;
+use crate::stats::{End, Stats, Taken};
 use bytes::{BufMut, Bytes, BytesMut};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -60,6 +62,26 @@
     Draining,
 }
 
+/// Whether an operator sends the clients of this instance away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Drain {
+    /// No.
+    No,
+    /// Yes, and so far only `/ready` says it.
+    Announced,
+    /// Every connection is closed after its answer, and idle ones at once.
+    Closing,
+}
+
+/// What the server side goes by.
+#[derive(Debug, Clone)]
+pub struct Signals {
+    /// How far the program is.
+    pub phase: watch::Receiver<Phase>,
+    /// Whether clients are sent away.
+    pub drain: watch::Receiver<Drain>,
+}
+
 /// The server side of the platform's front.
 #[derive(Debug)]
 pub struct ServerSide<F> {
@@ -71,7 +93,8 @@
     read: F,
     exchange: Exchange<Question, Answer>,
     deadlines: Deadlines,
-    phase: watch::Receiver<Phase>,
+    signals: Signals,
+    stats: Arc<Stats>,
     room: Room,
     retry_after: Millis,
     open: Cell<usize>,
@@ -114,7 +137,8 @@
         read: F,
         exchange: Exchange<Question, Answer>,
         deadlines: Deadlines,
-        phase: watch::Receiver<Phase>,
+        signals: Signals,
+        stats: Arc<Stats>,
         (room, retry_after): (Room, Millis),
         log: Logger,
     ) -> Self {
@@ -125,7 +149,8 @@
                 read,
                 exchange,
                 deadlines,
-                phase,
+                signals,
+                stats,
                 room,
                 retry_after,
                 open,
@@ -142,7 +167,7 @@
     /// Takes connections in until it drains and the last one is closed.
     pub async fn run(self, listener: TcpListener) {
         let shared = self.shared;
-        let mut phase = shared.phase.clone();
+        let Signals { mut phase, mut drain } = shared.signals.clone();
         let hard = shared.room.connections + shared.room.turned_away;
         loop {
             let crowded = shared.crowded();
@@ -170,6 +195,12 @@
                 () = shared.closed.notified(), if shared.open.get() >= hard => {}
                 // The spare ones of now are old enough then.
                 () = shared.deadlines.sleep(YOUNG / 4.0), if crowded > 0 => {}
+                Ok(()) = drain.changed() => {
+                    if *drain.borrow_and_update() == Drain::Closing {
+                        info!(shared.log, "clients are sent away"; "connections" => shared.open.get());
+                        shared.spare.borrow_mut()[1].retain(|_, spare| !spare.idle);
+                    }
+                }
                 _ = phase.wait_for(|phase| *phase == Phase::Draining) => break,
             }
         }
@@ -261,11 +292,12 @@
         loop {
             out.clear();
             let mut held = self.shared.room.budget.hold();
+            let mut counts = None;
             let again = match self.next(&mut stream, &mut buffer, &mut held, first).await {
                 Ok(Some(message)) => {
-                    let Some(close) = self.answer(&message, &mut stream, &mut buffer, &mut out).await else {
-                        return;
-                    };
+                    let said = self.answer(&message, &mut stream, &mut buffer, &mut out).await;
+                    let Some((close, count)) = said else { return };
+                    counts = count;
                     !close
                 }
                 Ok(None) => return,
@@ -276,7 +308,11 @@
                 }
             };
             drop(held);
-            match self.shared.deadlines.within(STALLED, stream.write_all(&out)).await {
+            let written = self.shared.deadlines.within(STALLED, stream.write_all(&out)).await;
+            if let (Some(Ok(())), Some((taken, end))) = (&written, counts) {
+                Taken::ended(taken, end);
+            }
+            match written {
                 Some(Ok(())) if again => first = false,
                 Some(Ok(())) => {
                     let _ = stream.shutdown().await;
@@ -312,7 +348,8 @@
     }
 
     fn draining(&self) -> bool {
-        *self.shared.phase.borrow() == Phase::Draining
+        let Signals { phase, drain } = &self.shared.signals;
+        *phase.borrow() == Phase::Draining || *drain.borrow() == Drain::Closing
     }
 
     /// The next whole message; none where the connection ends between messages, or is closed there.
@@ -345,7 +382,10 @@
                 _ => *began.get_or_insert(now) + SLOW,
             };
             // A message that has begun on a connection that brought flows is a usual client's.
-            let spared = if idle { !self.draining() } else { !self.flows.get() };
+            // While an operator's drain lasts, who has just come is still heard.
+            let closes =
+                self.draining() && (!first || *self.shared.signals.phase.borrow() == Phase::Draining);
+            let spared = if idle { !closes } else { !self.flows.get() };
             let mut spare = spared.then(|| shared.spare((self.flows.get(), idle), began.unwrap_or(0.0)));
             let closing = async {
                 match &mut spare {
@@ -378,43 +418,45 @@
         }
     }
 
-    /// Answers a message; tells whether the connection is to be closed then, or none where the client left.
+    /// Answers a message; tells whether the connection is to be closed then and how a flow ends once that is written,
+    /// or none where the client left.
     async fn answer(
         &self,
         message: &Message,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         out: &mut BytesMut,
-    ) -> Option<bool> {
+    ) -> Option<(bool, Option<(Taken, End)>)> {
         let shared = &self.shared;
         let closes = |close: bool| close || message.head.close || self.full || self.draining();
         match (shared.read)(message) {
             Asked::Wrong(status, text) => {
                 let close = closes(false);
                 plain(out, status, text, None, close);
-                Some(close)
+                Some((close, None))
             }
             Asked::Ready => {
                 let close = closes(false);
-                match *shared.phase.borrow() {
-                    Phase::Serving => plain(out, 200, "ready", None, close),
+                match (*shared.signals.phase.borrow(), *shared.signals.drain.borrow()) {
+                    (Phase::Serving, Drain::No) => plain(out, 200, "ready", None, close),
                     _ => plain(out, 503, "not ready", None, close),
                 }
-                Some(close)
+                Some((close, None))
             }
-            Asked::Flow(..) if self.full => {
+            Asked::Flow(terms, ..) if self.full => {
                 plain(out, 503, "no room", Some(shared.retry_after), true);
-                Some(true)
+                Some((true, Some((shared.stats.take(terms.class), End::Rejected))))
             }
             Asked::Flow(terms, question, id) => {
                 // Prevents a client from taking another's answer, and one id from being out twice.
                 if !shared.ids.borrow_mut().insert(id.clone()) {
                     let close = closes(false);
                     plain(out, 409, "the id is that of an open flow", None, close);
-                    return Some(close);
+                    return Some((close, None));
                 }
                 let _id = Id(shared, id);
                 self.flows.set(true);
+                let taken = shared.stats.take(terms.class);
                 let mut waiting = shared.exchange.arrive(terms, question);
                 let verdict = loop {
                     tokio::select! {
@@ -430,6 +472,7 @@
                     }
                 };
                 let close = closes(false);
+                let end = verdict.end();
                 match verdict {
                     Verdict::Served(answer) => served(out, &answer, close),
                     Verdict::TurnDown(after) => plain(out, 429, "turned down", Some(after), close),
@@ -437,7 +480,7 @@
                     Verdict::Failed { timed_out: true } => plain(out, 504, "no answer in time", None, close),
                     Verdict::Failed { timed_out: false } => plain(out, 502, "failed", None, close),
                 }
-                Some(close)
+                Some((close, Some((taken, end))))
             }
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,22 +10,28 @@
 use crate::fronts::ext_authz::{Check, Front};
 use crate::fronts::platform;
 use crate::interface::Millis;
+use crate::maintenance::{Maintenance, read_bans};
+use crate::management::{Door, Told};
 use crate::net::budget::Budget;
 use crate::net::client_side::{Answer, ClientSide, Question};
 use crate::net::counter::Counter;
 use crate::net::discovery::{Discovery, List};
 use crate::net::peers::Peers;
-use crate::net::server_side::{Phase, Room, ServerSide};
+use crate::net::server_side::{Drain, Phase, Room, ServerSide, Signals};
 use crate::net::stream::Way;
 use crate::state::Limiter;
+use crate::stats::Stats;
 use bytes::Bytes;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinHandle, JoinSet, LocalSet, spawn_local};
 
 /// An instance is ready once the list has been told, or after this time with the list it had.
@@ -43,6 +49,30 @@
     LocalSet::new().block_on(&runtime, future)
 }
 
+/// Where bans are kept, for the process that comes next at this address; nowhere without a folder for it.
+fn bans_file(listen: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+    Some(PathBuf::from(folder).join(format!("weldhub-{}-{}.bans", listen.ip(), listen.port())))
+}
+
+/// The bans that a process before has left; what cannot be read is passed over.
+fn kept_bans(path: &Path, log: &Logger) -> Vec<String> {
+    match std::fs::read(path) {
+        Ok(bytes) => match std::str::from_utf8(&bytes).ok().and_then(read_bans) {
+            Some(bans) => bans,
+            None => {
+                warn!(log, "a file of bans was passed over"; "path" => %path.display());
+                Vec::new()
+            }
+        },
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
+        Err(e) => {
+            warn!(log, "a file of bans was passed over"; "path" => %path.display(), "error" => %e);
+            Vec::new()
+        }
+    }
+}
+
 /// What both fronts have in common: an engine with its ways to the counter and the peers.
 struct Core<Q, A> {
     deadlines: Deadlines,
@@ -52,6 +82,9 @@
     parts: JoinSet<()>,
     longest: Millis,
     told: watch::Sender<bool>,
+    stats: Arc<Stats>,
+    phase: watch::Sender<Phase>,
+    drain: watch::Sender<Drain>,
 }
 
 impl<Q: Clone + 'static, A: 'static> Core<Q, A> {
@@ -63,6 +96,14 @@
         log: &Logger,
     ) -> io::Result<Self> {
         let deadlines = Deadlines::new(Clock::new());
+        // Before all else: operators are to be answered whatever follows.
+        let door = match instance.management {
+            Some(at) => {
+                let bound = TcpListener::bind(at).await;
+                Some(bound.map_err(|e| io::Error::other(format!("management={at}: {e}")))?)
+            }
+            None => None,
+        };
         let site = &instance.site;
         let limiter = Limiter::new(site.settings.clone(), instance.seed).map_err(io::Error::other)?;
         let (exchange, news) = Exchange::new();
@@ -91,8 +132,31 @@
             counter_timeout: site.settings.counter_timeout,
             retry_after: site.max_retry_after,
         };
-        let engine = Engine::new(limiter, deadlines.clone(), news, outlets, bounds, log.clone());
+        let bans = instance.management.and_then(|_| bans_file(instance.listen));
+        let maintenance = Maintenance::with(bans.iter().flat_map(|path| kept_bans(path, log)));
+        let deciding = (limiter, maintenance);
+        let engine = Engine::new(deciding, deadlines.clone(), news, outlets, bounds, log.clone());
         parts.spawn_local(engine.run(known));
+        let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
+        let (phase, drain) = (watch::Sender::new(Phase::Starting), watch::Sender::new(Drain::No));
+        if let Some(listener) = door {
+            let exchange = exchange.clone();
+            let engine = move |operation| -> Pin<Box<dyn Future<Output = Told>>> {
+                let (reply, answer) = oneshot::channel();
+                exchange.tell(News::Operate(operation, reply));
+                Box::pin(async move { answer.await.unwrap_or(Err("the engine has ended")) })
+            };
+            let door = Door {
+                stats: stats.clone(),
+                phase: phase.subscribe(),
+                drain: drain.clone(),
+                engine: Box::new(engine),
+                bans,
+                deadlines: deadlines.clone(),
+                log: log.clone(),
+            };
+            parts.spawn_local(door.run(listener));
+        }
         Ok(Self {
             deadlines,
             exchange,
@@ -100,9 +164,16 @@
             parts,
             longest: site.classes.iter().map(|class| class.give_up).fold(0.0, f64::max),
             told: watch::Sender::new(false),
+            stats,
+            phase,
+            drain,
         })
     }
 
+    fn signals(&self) -> Signals {
+        Signals { phase: self.phase.subscribe(), drain: self.drain.subscribe() }
+    }
+
     /// Where lists are told.
     fn teller(&self) -> impl FnMut(List) + use<Q, A> {
         let (exchange, told) = (self.exchange.clone(), self.told.clone());
@@ -116,14 +187,13 @@
     async fn serve(
         mut self,
         instance: &Instance,
-        phase: watch::Sender<Phase>,
         mut taking: JoinHandle<()>,
         stop: JoinHandle<()>,
         log: Logger,
     ) -> io::Result<()> {
         let mut told = self.told.subscribe();
         let _ = self.deadlines.within(LIST_WAIT, told.wait_for(|told| *told)).await;
-        phase.send_replace(Phase::Serving);
+        self.phase.send_replace(Phase::Serving);
         info!(log, "serving"; "name" => &instance.name, "listen" => %instance.listen);
         tokio::select! {
             _ = stop => {}
@@ -133,9 +203,9 @@
             }
         }
         info!(log, "stopping");
-        phase.send_replace(Phase::Stopping);
+        self.phase.send_replace(Phase::Stopping);
         self.deadlines.sleep(SERVE_ON).await;
-        phase.send_replace(Phase::Draining);
+        self.phase.send_replace(Phase::Draining);
         let drained = self.deadlines.within(self.longest + DRAIN_SLACK, &mut taking).await.is_some();
         info!(log, "stopped"; "all_answered" => drained);
         Ok(())
@@ -160,7 +230,14 @@
     let mut core = Core::<Question, Answer>::start(&instance, &ways, known, flows, &log).await?;
     let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
     let room = (servers, budget());
-    let side = ClientSide::new(exchange.clone(), deadlines.clone(), site.clone(), room, log.clone());
+    let side = ClientSide::new(
+        exchange.clone(),
+        deadlines.clone(),
+        site.clone(),
+        room,
+        core.stats.clone(),
+        log.clone(),
+    );
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
     let agent = Way::new(&ways, agent, |ways| Some(ways.discovery));
@@ -168,13 +245,14 @@
     let discovery = Discovery { agent, site: site.clone(), deadlines: pauses, seed, log: log.clone() };
     let teller = core.teller();
     core.parts.spawn_local(discovery.run(generation, teller));
-    let (phase, phases) = watch::channel(Phase::Starting);
     let room = Room { connections: flows, turned_away, idle: instance.limits.idle(), budget: budget() };
     let reader = site.clone();
     let read = move |message: &_| platform::read(message, &reader);
-    let side = ServerSide::new(read, exchange, deadlines, phases, (room, site.max_retry_after), log.clone());
+    let (signals, stats) = (core.signals(), core.stats.clone());
+    let bounds = (room, site.max_retry_after);
+    let side = ServerSide::new(read, exchange, deadlines, signals, stats, bounds, log.clone());
     let taking = spawn_local(side.run(listener));
-    core.serve(&instance, phase, taking, stop, log).await
+    core.serve(&instance, taking, stop, log).await
 }
 
 /// Runs an instance of the authorisation front on a listener, within a local task set; `ways` says where Consul and
@@ -194,7 +272,8 @@
     let flows = clients * CHECKS;
     let mut core = Core::<Check, Bytes>::start(&instance, &ways, None, flows, &log).await?;
     let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
-    let side = Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), log.clone());
+    let side =
+        Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), core.stats.clone(), log.clone());
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
     core.parts.spawn_local(side.run(orders));
     let agent = Way::new(&ways, consul.address, |ways| Some(ways.discovery));
@@ -202,18 +281,15 @@
     let watch = Watch { agent, consul, site: site.clone(), deadlines, seed, log: log.clone() };
     let teller = core.teller();
     core.parts.spawn_local(watch.run(teller));
-    let (phase, mut phases) = watch::channel(Phase::Starting);
-    let service = CheckService::new(Arc::new(Front { site: site.clone(), authz }), exchange);
-    let draining = async move {
-        let _ = phases.wait_for(|phase| *phase == Phase::Draining).await;
-    };
-    let (mut starting, told) = (phase.subscribe(), log.clone());
+    let front = Arc::new(Front { site: site.clone(), authz });
+    let service = CheckService::new(front, exchange, core.stats.clone());
+    let (mut starting, signals, told) = (core.phase.subscribe(), core.signals(), log.clone());
     let taking = spawn_local(async move {
         // Checks that come before the first list wait in the backlog.
         let _ = starting.wait_for(|phase| *phase >= Phase::Serving).await;
-        if let Err(e) = service::serve(service, listener, room, draining, told.clone()).await {
+        if let Err(e) = service::serve(service, listener, room, signals, told.clone()).await {
             info!(told, "serving ended"; "error" => %e);
         }
     });
-    core.serve(&instance, phase, taking, stop, log).await
+    core.serve(&instance, taking, stop, log).await
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -285,7 +285,7 @@
     }
 
     /// Whether a server is ejected, is on trial after that with work out, or has gone silent.
-    fn passed_over(&self, now: Millis, server: &Server) -> bool {
+    pub(crate) fn passed_over(&self, now: Millis, server: &Server) -> bool {
         let trial = server.ejections > 0 && server.failures > 0 && !server.out.is_empty();
         server.ejected_until > now || trial || server.silence(now) > SILENCE
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use crate::mail::{Ask, quarters, report};
 use crate::prng::Prng;
+use crate::stats::Members;
 use crate::window::{Bucket, Ewma, Fading, Rate, Share};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -250,6 +251,15 @@
         self.taken_at = now;
     }
 
+    /// The servers on the list, and those of them that get no work now, by the list's word or by what was seen.
+    pub fn members(&self, now: Millis) -> Members {
+        let listed = self.servers.values().filter(|s| s.entry.state != ServerState::Gone);
+        let avoided =
+            |s: &Server| s.entry.state != ServerState::Ready || !self.shared && self.passed_over(now, s);
+        let (all, out) = listed.fold((0, 0), |(all, out), s| (all + 1, out + usize::from(avoided(s))));
+        Members { listed: all, unavailable: out }
+    }
+
     /// The client of a request has left: its attempts are cancelled where that is allowed.
     pub(crate) fn finish(&mut self, id: RequestId) -> Vec<Action> {
         let Some(open) = self.requests.get_mut(&id) else { return Vec::new() };
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,188 @@
+//! Daily operation, without the bench: the operators' door, figures, maintenance and drain.
+
+mod stand_ins;
+
+use bytes::BytesMut;
+use serde_json::json;
+use stand_ins::ingress::*;
+use stand_ins::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// An ingress with a door, for these real servers.
+async fn with_door(servers: &[(&str, &RealServer)]) -> (Ingress, SocketAddr, Agent) {
+    let agent = Agent::start().await;
+    let known =
+        servers.iter().map(|(name, server)| service_entry(name, server.at, 0, "in_service")).collect();
+    let mut told = told(agent.at, known);
+    let door = listener().await.local_addr().unwrap();
+    told["management"] = json!(door.to_string());
+    (start(&told).await, door, agent)
+}
+
+async fn answer_of(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    text
+}
+
+async fn call(door: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(door).await.unwrap();
+    stream.write_all(line.as_bytes()).await.unwrap();
+    answer_of(stream).await
+}
+
+async fn figures(door: SocketAddr) -> BTreeMap<String, u64> {
+    let text = call(door, "show-stat\n").await;
+    let figures = text.strip_suffix("eof\n").expect("the figures end with eof");
+    figures
+        .lines()
+        .map(|line| line.rsplit_once(' ').unwrap())
+        .map(|(k, v)| (k.into(), v.parse().unwrap()))
+        .collect()
+}
+
+#[test]
+fn a_call_may_be_cut_anywhere_and_whoever_says_nothing_is_in_nobodys_way() {
+    local(async {
+        let server = RealServer::start(ok("x")).await;
+        let (_ingress, door, _agent) = with_door(&[("s1", &server)]).await;
+        let mut silent = Vec::new();
+        for i in 0..20 {
+            let mut stream = TcpStream::connect(door).await.unwrap();
+            stream.write_all(&b"disable-server s1"[..i % 17]).await.unwrap();
+            silent.push(stream);
+        }
+        let mut slow = TcpStream::connect(door).await.unwrap();
+        for byte in b"ready\r\n" {
+            slow.write_all(&[*byte]).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(answer_of(slow).await, "ok ready\n");
+        assert!(call(door, "nonsense\n").await.starts_with("fail "));
+        assert!(call(door, &format!("ready{}\n", " ".repeat(5000))).await.starts_with("fail "));
+        assert!(call(door, "disable-server nobody\n").await.starts_with("fail "));
+        drop(silent);
+        assert_eq!(call(door, "ready\n").await, "ok ready\n");
+    });
+}
+
+#[test]
+fn figures_are_what_clients_and_real_servers_saw() {
+    local(async {
+        let server = RealServer::start(ok("x")).await;
+        let (ingress, door, _agent) = with_door(&[("s1", &server)]).await;
+        let mut client = Client::new(ingress.at).await;
+        let mut seen = BTreeMap::new();
+        let mut id = 0;
+        let mut ask = async |manner: Option<Serve>, text: &dyn Fn(&str) -> String| {
+            manner.into_iter().for_each(|manner| server.behave(manner));
+            id += 1;
+            let status = status(&client.ask(&text(&format!("r{id}"))).await);
+            *seen.entry(status).or_insert(0) += 1;
+        };
+        ask(None, &|id| board(id, 900, 5)).await;
+        ask(None, &|id| submit(id, 900)).await;
+        ask(Some(Serve::Bytes(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n".to_vec())), &|id| {
+            submit(id, 900)
+        })
+        .await;
+        ask(Some(Serve::Stall), &|id| submit(id, 300)).await;
+        ask(Some(ok("x")), &|id| board(id, 900, 6)).await;
+        ask(None, &|id| board(id, 900, 6)).await;
+        ask(None, &|id| board(id, 900, 6)).await;
+        // The plan has 27 units in all: these are beyond them, and one is left.
+        ask(None, &|id| board(id, 900, 6)).await;
+        ask(None, &|id| board(id, 900, 6)).await;
+        let left = {
+            server.behave(Serve::Stall);
+            let mut client = Client::new(ingress.at).await;
+            let before = server.count();
+            client.send(&board("left", 1400, 1)).await;
+            until(|| server.count() > before).await;
+            assert_eq!(figures(door).await["svc_pending"], 1);
+            client
+        };
+        drop(left);
+        let all = loop {
+            let all = figures(door).await;
+            if all["svc_pending"] == 0 {
+                break all;
+            }
+        };
+        let of = |what: &str, class: &str| all[&format!("svc_{what}_total{{lane=\"{class}\"}}")];
+        assert_eq!((of("completed", "board-state"), of("completed", "move-submit")), (4, 1));
+        assert_eq!((of("rejected", "board-state"), of("rejected", "move-submit")), (2, 0));
+        assert_eq!((of("failed", "board-state"), of("failed", "move-submit")), (0, 2));
+        assert_eq!(seen, BTreeMap::from([(200, 5), (429, 2), (502, 1), (504, 1)]));
+        assert_eq!(all["svc_upstream_requests_total"], server.count() as u64);
+        assert_eq!((all["svc_members"], all["svc_members_unavailable"]), (1, 0));
+    });
+}
+
+#[test]
+fn nothing_goes_to_a_real_server_that_is_out_whatever_discovery_says() {
+    local(async {
+        let (one, two) = (RealServer::start(ok("1")).await, RealServer::start(ok("2")).await);
+        let (ingress, door, agent) = with_door(&[("s1", &one), ("s2", &two)]).await;
+        assert_eq!(call(door, "disable-server s1\n").await, "ok\n");
+        assert_eq!(call(door, "disable-server s1\r\n").await, "ok\n");
+        let all = figures(door).await;
+        assert_eq!((all["svc_members"], all["svc_members_unavailable"]), (2, 1));
+        until(|| agent.asked.borrow().len() == 1).await;
+        let entry = |name, server: &RealServer| service_entry(name, server.at, 0, "in_service");
+        agent.say(50, true, vec![entry("s1", &one), entry("s2", &two), entry("s3", &two)]);
+        while figures(door).await["svc_members"] != 3 {}
+        let mut client = Client::new(ingress.at).await;
+        for i in 0..10 {
+            assert_eq!(status(&client.ask(&board(&format!("a{i}"), 900, 1)).await), 200);
+        }
+        assert_eq!(one.count(), 0);
+        assert_eq!(call(door, "enable-server s1\n").await, "ok\n", "once back is back");
+        // The only one that is not out gets what comes.
+        assert_eq!(call(door, "disable-server s2\n").await, "ok\n");
+        assert_eq!(call(door, "disable-server s3\n").await, "ok\n");
+        assert_eq!(status(&client.ask(&board("b", 900, 1)).await), 200);
+        assert_eq!(one.count(), 1);
+    });
+}
+
+#[test]
+fn a_drain_says_no_at_once_closes_what_is_open_and_ends_with_resume() {
+    local(async {
+        let server = RealServer::start(ok("x")).await;
+        let (ingress, door, _agent) = with_door(&[("s1", &server)]).await;
+        let mut idle = Client::new(ingress.at).await;
+        let mut busy = Client::new(ingress.at).await;
+        assert_eq!(status(&idle.ask(&board("a", 900, 1)).await), 200);
+        assert_eq!(status(&busy.ask(&board("b", 900, 1)).await), 200);
+        assert_eq!(call(door, "drain\n").await, "ok draining\n");
+        assert_eq!(status(&get(ingress.at, "/ready").await), 503);
+        assert_eq!(call(door, "ready\n").await, "ok ready\n", "the process can serve all the same");
+        server.behave(Serve::Stall);
+        busy.send(&board("c", 1400, 1)).await;
+        let mut rest = BytesMut::new();
+        assert_eq!(idle.0.read_buf(&mut rest).await.unwrap(), 0, "an idle connection is closed");
+        // Who comes all the same is served, and told to go; what was taken is answered.
+        server.behave(ok("x"));
+        let mut late = Client::new(ingress.at).await;
+        let answer = late.ask(&board("d", 900, 1)).await;
+        assert_eq!((status(&answer), header(&answer, "connection").as_deref()), (200, Some("close")));
+        let answer = busy.answer().await.unwrap();
+        assert!(header(&answer, "connection").as_deref() == Some("close"), "{}", status(&answer));
+        assert_eq!(call(door, "resume\n").await, "ok\n");
+        assert_eq!(status(&get(ingress.at, "/ready").await), 200);
+        let answer = Client::new(ingress.at).await.ask(&board("e", 900, 1)).await;
+        assert_eq!((status(&answer), header(&answer, "connection")), (200, None));
+        // A drain called off before its connections are closed closes none.
+        call(door, "drain\n").await;
+        call(door, "resume\n").await;
+        let mut kept = Client::new(ingress.at).await;
+        for i in 0..3 {
+            tokio::time::sleep(std::time::Duration::from_millis(250)).await;
+            assert_eq!(header(&kept.ask(&board(&format!("f{i}"), 900, 1)).await, "connection"), None);
+        }
+    });
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,123 +2,11 @@
 
 mod stand_ins;
 
-use bytes::BytesMut;
 use serde_json::{Value, json};
+use stand_ins::ingress::*;
 use stand_ins::*;
-use std::net::SocketAddr;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::{oneshot, watch};
-use tokio::task::{JoinHandle, spawn_local};
 use weldhub::config::Config;
-use weldhub::net::http::{Kind, Message};
-use weldhub::node;
-
-/// What an ingress is told, with `known` as its list and a plan of 27 units at once that never fill again.
-fn told(agent: SocketAddr, known: Vec<Value>) -> Value {
-    let class = |name: &str, give_up: f64, effect: &str| json!({"name": name, "aim": 600.0, "giveUp": give_up, "effect": effect, "group": "cell", "window": 6000.0});
-    json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": agent.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"generation": 41, "reset": true, "instances": known},
-        "settings": {
-            "balancers": 1, "myNumber": 0, "zone": 0, "zones": ["a"], "flavors": ["m"], "unknownKey": [1],
-            "membershipMode": "pushed", "feedback": {"names": ["rif", "q"], "via": "piggyback"},
-            "limits": {"maxAttempts": 3, "cancelling": true, "retryAfter": false, "maxRetryAfter": 1000.0,
-                "connectTimeout": 250.0, "connIdle": 30000.0},
-            "familyInfo": {"largest": 6, "counterTimeout": 50.0},
-            "rules": {"coldFrom": 0.25, "cold": 18000.0, "fallMultiple": 2.0, "overloadFor": 3000.0},
-            "classes": [class("board-state", 1500.0, "read_like"), class("move-submit", 3000.0, "idempotency_key")],
-            "tariffs": [{"name": "club", "perSecond": 0.001, "storeSize": 27.0, "atOnce": 0,
-                "ceilingRate": 0.0, "neverOverDepth": 0.0}],
-        },
-    })
-}
-
-struct Ingress {
-    at: SocketAddr,
-    stop: oneshot::Sender<()>,
-    running: JoinHandle<std::io::Result<()>>,
-}
-
-async fn start(told: &Value) -> Ingress {
-    let config = Config::read(&told.to_string(), |_| None).unwrap();
-    let listener = listener().await;
-    let at = listener.local_addr().unwrap();
-    let (stop, stopped) = oneshot::channel();
-    let stopped = async move { drop(stopped.await) };
-    let (_ways, ways) = watch::channel(config.ways());
-    let running = spawn_local(node::serve(config, listener, quiet(), ways, stopped));
-    while status(&get(at, "/ready").await) != 200 {}
-    Ingress { at, stop, running }
-}
-
-/// An ingress with one real server.
-async fn one(manner: Serve) -> (RealServer, Ingress, Agent) {
-    let (server, agent) = (RealServer::start(manner).await, Agent::start().await);
-    let ingress = start(&told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")])).await;
-    (server, ingress, agent)
-}
-
-/// A client's connection.
-struct Client(TcpStream, BytesMut);
-
-impl Client {
-    async fn new(at: SocketAddr) -> Self {
-        Self(TcpStream::connect(at).await.unwrap(), BytesMut::new())
-    }
-
-    async fn send(&mut self, text: &str) {
-        self.0.write_all(text.as_bytes()).await.unwrap();
-    }
-
-    async fn answer(&mut self) -> Option<Message> {
-        message(&mut self.0, &mut self.1, Kind::Response).await
-    }
-
-    async fn ask(&mut self, text: &str) -> Message {
-        self.send(text).await;
-        self.answer().await.unwrap()
-    }
-}
-
-async fn ask(at: SocketAddr, text: &str) -> Message {
-    Client::new(at).await.ask(text).await
-}
-
-async fn get(at: SocketAddr, path: &str) -> Message {
-    ask(at, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")).await
-}
-
-fn status(message: &Message) -> u16 {
-    message.head.status()
-}
-
-fn header(message: &Message, name: &str) -> Option<String> {
-    message.head.get(name).map(|value| String::from_utf8(value.to_vec()).unwrap())
-}
-
-fn common(id: &str, timeout: u32, units: u32) -> String {
-    format!(
-        "Host: x\r\nRequest-Id: {id}\r\nX-Tier: club\r\nRequest-Timeout-Ms: {timeout}\r\n\
-         X-Call-Terms: units={units},spread=1,first=0\r\n"
-    )
-}
-
-fn board(id: &str, timeout: u32, units: u32) -> String {
-    format!(
-        "GET /board-state/17?client=0000000000000007&x=%20y HTTP/1.1\r\n{}\r\n",
-        common(id, timeout, units)
-    )
-}
-
-fn submit(id: &str, timeout: u32) -> String {
-    let common = common(id, timeout, 1);
-    format!(
-        "POST /move-submit/17?client=0000000000000007 HTTP/1.1\r\n{common}Idempotency-Key: 5c0f6e\r\n\
-         Content-Length: 4\r\n\r\ne2e4"
-    )
-}
 
 #[test]
 fn a_flow_and_its_answer_pass_unchanged() {
@@ -572,10 +460,11 @@
         Config::read(&told.to_string(), |_| None).unwrap_err().to_string()
     };
     type Edit = fn(&mut Value);
-    let cases: [(Edit, &str); 8] = [
+    let cases: [(Edit, &str); 9] = [
         (|c| c["listen"] = json!("here"), "listen"),
         (|c| c["seed"] = json!("xyz"), "seed"),
         (|c| c["limits"]["sockets"] = json!(3), "limits.sockets"),
+        (|c| c["management"] = json!("nowhere"), "management"),
         (|c| c["settings"]["classes"][1]["effect"] = json!("odd"), "classes.1.effect"),
         (|c| c["settings"]["tariffs"][0]["perSecond"] = json!("fast"), "tariffs.0.perSecond"),
         (|c| c["settings"]["limits"]["connIdle"] = json!(0), "limits.connIdle"),
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -2,6 +2,8 @@
 //! counter, discovery and real servers. All listen on loopback, at ports of the system's choice.
 #![allow(dead_code)]
 
+pub mod ingress;
+
 use bytes::{Bytes, BytesMut};
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
