--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,7 @@
 //! read again.
 
 use crate::config::{AuthzConfig, Config, ConfigError, Ways};
-use crate::node;
+use crate::node::{self, Sockets};
 use slog::{Drain, Level, Logger, crit, info, o, warn};
 use std::io;
 use std::process::ExitCode;
@@ -66,9 +66,9 @@
             let mut config = Config::from_env()?;
             node::block_on(async {
                 let ways = on_hangup(config.ways(), Config::ways_from_env, log.clone())?;
-                let listener = TcpListener::bind(config.instance.listen).await?;
-                config.instance.listen = listener.local_addr()?;
-                node::serve(config, listener, log.clone(), ways, told_to_stop()).await
+                let sockets = Sockets::get(&config.instance, log).await?;
+                config.instance.listen = sockets.listener.local_addr()?;
+                node::serve(config, sockets, log.clone(), ways, told_to_stop()).await
             })?;
         }
         ["--ext-authz", path] => {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -2,13 +2,13 @@
 //! it that every flow gets one final answer, before its deadline.
 
 use crate::deadlines::{Deadlines, Due, Key};
-use crate::exchange::{Call, News, Operation, Order, Report, Standing, Verdict};
+use crate::exchange::{Call, Estate, News, Operation, Order, Report, Standing, Verdict};
 use crate::interface::*;
 use crate::maintenance::Maintenance;
 use crate::net::discovery::List;
 use crate::state::Limiter;
 use slog::{Logger, debug, info, warn};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use tokio::sync::{mpsc, oneshot};
 
 /// Before a flow's deadline its schedulings end, so that the decisions can still answer ...
@@ -25,6 +25,8 @@
     pub orders: mpsc::UnboundedSender<Order<Q>>,
     /// To the counter, where there is one.
     pub counter: Option<mpsc::UnboundedSender<Call>>,
+    /// To the process that decides in place of this one, how its attempts end.
+    pub successor: mpsc::UnboundedSender<AttemptEnd>,
     /// To the peers, where messages are allowed.
     pub peers: Option<mpsc::UnboundedSender<(GatewayId, Vec<u8>)>>,
 }
@@ -93,6 +95,12 @@
     /// Events that actions bring about at once.
     own: VecDeque<Event>,
     tally: Tally,
+    /// Another process decides.
+    retired: bool,
+    /// Attempts that are out at a process before.
+    elsewhere: BTreeMap<(RequestId, AttemptNo), ServerId>,
+    /// Discovery has told a list.
+    told: bool,
     log: Logger,
 }
 
@@ -121,6 +129,9 @@
             now,
             own,
             tally,
+            retired: false,
+            elsewhere: BTreeMap::new(),
+            told: false,
             log,
         }
     }
@@ -201,6 +212,7 @@
             }
             News::Ended(report) => self.ended(report),
             News::Listed(list) => {
+                self.told = true;
                 let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
                 self.listed(list, kind);
             }
@@ -211,6 +223,26 @@
                     self.feed(Event::Counted(name, answer));
                 }
             }
+            News::HandOver(reply) => {
+                self.retired = true;
+                let (list, bans) = (self.maintenance.told(), self.maintenance.bans());
+                let _ = reply.send(Estate { limiter: self.limiter.hand_over(), bans, list });
+            }
+            News::TakeBack => {
+                self.retired = false;
+                self.limiter.take_back();
+            }
+            News::Inherit(estate, reply) => {
+                self.inherit(estate);
+                let _ = reply.send(());
+            }
+            News::EndedElsewhere(end) => self.ended_elsewhere(end),
+            News::Orphaned => {
+                for ((request, attempt), server) in std::mem::take(&mut self.elsewhere) {
+                    let end = (Outcome::Cancelled, 0.0);
+                    self.feed(attempt_ended((request, attempt), server, end, true, Load::default()));
+                }
+            }
             News::Operate(operation, reply) => {
                 // Whoever asked has its answer after all that follows is carried out.
                 let done = self.operate(operation);
@@ -219,6 +251,36 @@
         }
     }
 
+    /// Goes on from what another process knew. What cannot be read leaves this one as after a restart.
+    fn inherit(&mut self, estate: Estate) {
+        self.maintenance.ban_only(estate.bans);
+        match self.limiter.inherit(&estate.limiter) {
+            Ok(out) => {
+                self.elsewhere =
+                    out.into_iter().map(|(request, no, server)| ((request, no), server)).collect();
+                info!(self.log, "took over"; "attempts_out" => self.elsewhere.len());
+            }
+            Err(why) => warn!(self.log, "what the old process knew was passed over"; "why" => why),
+        }
+        if !self.told && !estate.list.entries.is_empty() {
+            self.maintenance.listed(estate.list);
+        }
+        let mut list = self.maintenance.told();
+        if !list.entries.is_empty() {
+            list = self.maintenance.listed(list);
+            self.believe(list, ListKind::Full);
+        }
+    }
+
+    fn ended_elsewhere(&mut self, end: AttemptEnd) {
+        if self.elsewhere.remove(&(end.request, end.attempt)).is_some() {
+            if self.retired {
+                let _ = self.outlets.successor.send(end);
+            }
+            self.feed(Event::AttemptEnded(AttemptEnd { closed: true, ..end }));
+        }
+    }
+
     fn operate(&mut self, operation: Operation) -> Result<Standing, &'static str> {
         let change = match operation {
             Operation::Look => None,
@@ -319,7 +381,11 @@
         }
         let closed = self.flows.get(&id).is_none_or(|flow| flow.client.is_none());
         let spent = self.now - ended.sent;
-        self.feed(attempt_ended((id, no), ended.server, (outcome, spent), closed, load));
+        let end = attempt_ended((id, no), ended.server, (outcome, spent), closed, load);
+        if let (true, Event::AttemptEnded(end)) = (self.retired, &end) {
+            let _ = self.outlets.successor.send(*end);
+        }
+        self.feed(end);
         if self.flows.get(&id).is_some_and(|flow| flow.client.is_none() && flow.out.is_empty()) {
             self.flows.remove(&id);
         }
@@ -346,14 +412,15 @@
                 self.own.push_back(Event::ProbeEnded(server, Outcome::Moot, Load::default()));
             }
             Action::Tell(to, bytes) => {
-                if let Some(peers) = &self.outlets.peers {
+                if let Some(peers) = self.outlets.peers.as_ref().filter(|_| !self.retired) {
                     let _ = peers.send((to, bytes));
                 }
             }
             Action::Count(name, amount, keep) => {
                 self.next_call += 1;
                 let call = Call { seq: self.next_call, name, amount, keep };
-                let sent = self.outlets.counter.as_ref().is_some_and(|counter| counter.send(call).is_ok());
+                let counter = self.outlets.counter.as_ref().filter(|_| !self.retired);
+                let sent = counter.is_some_and(|counter| counter.send(call).is_ok());
                 if sent {
                     self.calls.insert(call.seq, name);
                     self.deadlines.add(self.now + self.bounds.counter_timeout, Due::Call(call.seq));
@@ -442,7 +509,8 @@
         let (exchange, news) = Exchange::new();
         let (order, orders) = mpsc::unbounded_channel();
         let (call, calls) = mpsc::unbounded_channel();
-        let outlets = Outlets { orders: order, counter: Some(call), peers: None };
+        let successor = mpsc::unbounded_channel().0;
+        let outlets = Outlets { orders: order, counter: Some(call), successor, peers: None };
         let bounds = Bounds { flows, schedulings: 2, counter_timeout: 10.0, retry_after: 700.0 };
         let log = Logger::root(slog::Discard, slog::o!());
         let engine = Engine::new(
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::interface::*;
 use crate::net::discovery::List;
 use crate::stats::{End, Members};
+use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -89,12 +90,33 @@
     Heard(GatewayId, Vec<u8>),
     /// The counter answered a call.
     Counted(u64, CounterAnswer),
+    /// Another process is to decide from now on: it is owed what is known.
+    HandOver(oneshot::Sender<Estate>),
+    /// That process is gone: this one decides again.
+    TakeBack,
+    /// What another process knew, which has stopped deciding.
+    Inherit(Estate, oneshot::Sender<()>),
+    /// An attempt of that process has ended.
+    EndedElsewhere(AttemptEnd),
+    /// That process is gone: so are its attempts.
+    Orphaned,
     /// An operator wants something, and is owed an answer.
     Operate(Operation, oneshot::Sender<Result<Standing, &'static str>>),
 }
 
+/// What an engine knows.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Estate {
+    /// The limiter.
+    pub limiter: Vec<u8>,
+    /// The real servers that are out by hand.
+    pub bans: Vec<String>,
+    /// The list, as it was told.
+    pub list: List,
+}
+
 /// What an operator may want of the engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Operation {
     /// To see how things stand.
     Look,
@@ -164,8 +186,13 @@
 impl<Q, A> Exchange<Q, A> {
     /// An exchange and the engine's end of it.
     pub fn new() -> (Self, mpsc::UnboundedReceiver<News<Q, A>>) {
+        Self::from(0)
+    }
+
+    /// One whose flows are numbered from here on.
+    pub fn from(first: u64) -> (Self, mpsc::UnboundedReceiver<News<Q, A>>) {
         let (inbox, news) = mpsc::unbounded_channel();
-        (Self { inbox, next: Arc::default() }, news)
+        (Self { inbox, next: Arc::new(AtomicU64::new(first)) }, news)
     }
 
     /// Tells the engine something; once the engine is gone nothing matters any more.
--- a/src/fronts/ext_authz/service.rs
+++ b/src/fronts/ext_authz/service.rs
@@ -109,7 +109,7 @@
     log: Logger,
 ) -> Result<(), tonic::transport::Error> {
     let (listener, room) = (Arc::new(listener), Arc::new(Semaphore::new(most)));
-    let Signals { mut phase, mut drain } = signals;
+    let Signals { mut phase, mut drain, .. } = signals;
     let mut served = JoinSet::new();
     loop {
         let drained = *drain.borrow_and_update() == Drain::Closing;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! Every number that comes in may be late, noisy or absurd; the rules are expected to live with that.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// The most bytes of a message to a peer.
@@ -13,7 +14,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident($of:ty)) => {
         $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $of);
     };
 }
@@ -44,7 +45,7 @@
     TimerKey(u32));
 
 /// Which servers drop a repeat of a keyed request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// All of them.
     All,
@@ -55,7 +56,7 @@
 }
 
 /// What a repeat of a request would do.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Effect {
     /// Nothing: it may be repeated at will.
     Safe,
@@ -92,7 +93,7 @@
 }
 
 /// A class of requests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time has the full worth.
     pub aim: Millis,
@@ -101,7 +102,7 @@
 }
 
 /// A plan: the quotas that each of its customers has over all gateways together.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Plan {
     /// Units a second; 0 for none.
     pub rate: f64,
@@ -127,7 +128,7 @@
 }
 
 /// How a started server is to be spared.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ColdStart {
     /// The part of its full work that it can do at first.
     pub from: f64,
@@ -147,7 +148,7 @@
 }
 
 /// What a gateway knows at its start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// This gateway's number.
     pub me: GatewayId,
@@ -238,7 +239,7 @@
 impl std::error::Error for SettingsError {}
 
 /// What the list says of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// It takes work.
     Ready,
@@ -249,7 +250,7 @@
 }
 
 /// A line of the server list.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// Which server.
     pub server: ServerId,
@@ -281,7 +282,7 @@
 }
 
 /// A client's request.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
@@ -312,7 +313,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Served,
@@ -340,7 +341,7 @@
 }
 
 /// What a server says of its load; whatever it does not say is absent.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Load {
     /// Requests being handled.
     pub in_flight: Option<f64>,
@@ -357,7 +358,7 @@
 }
 
 /// The end of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AttemptEnd {
     /// Whose attempt.
     pub request: RequestId,
@@ -380,7 +381,7 @@
 }
 
 /// What came of a call to the counter.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum CounterAnswer {
     /// The total after the call.
     Total(f64),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod exchange;
 pub mod fronts;
+pub mod handover;
 pub mod interface;
 mod mail;
 pub mod maintenance;
@@ -20,6 +21,7 @@
 pub mod rules;
 mod state;
 pub mod stats;
+pub mod succession;
 mod window;
 
 pub use interface::{Action, Event, Settings};
--- a/src/maintenance.rs
+++ b/src/maintenance.rs
@@ -74,6 +74,17 @@
         Some(List { generation: self.generation, whole: false, entries: vec![e] })
     }
 
+    /// The list as it is told.
+    pub fn told(&self) -> List {
+        let entries = self.listed.values().cloned().collect();
+        List { generation: self.generation, whole: true, entries }
+    }
+
+    /// The bans that hold from now on.
+    pub fn ban_only(&mut self, bans: Vec<String>) {
+        self.bans = Self::with(bans).bans;
+    }
+
     /// The names of those that are out.
     pub fn bans(&self) -> Vec<String> {
         self.bans.values().cloned().collect()
--- a/src/management.rs
+++ b/src/management.rs
@@ -5,8 +5,9 @@
 use crate::exchange::{Operation, Standing};
 use crate::interface::Millis;
 use crate::maintenance::write_bans;
-use crate::net::server_side::{Drain, Phase};
+use crate::net::server_side::{Drain, Phase, Role};
 use crate::stats::Stats;
+use crate::succession::Other;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,7 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::spawn_local;
 
 /// Callers at once.
 pub const CALLERS: usize = 8;
@@ -33,6 +34,23 @@
 /// A drain is announced for so long before connections are closed: the front takes a moment to see it.
 const ANNOUNCE: Millis = 550.0;
 
+/// Has connections closed once a drain has been announced for long enough.
+pub async fn announce(drain: watch::Sender<Drain>, deadlines: Deadlines) {
+    let mut drains = drain.subscribe();
+    while drains.wait_for(|drain| *drain == Drain::Announced).await.is_ok() {
+        tokio::select! {
+            () = deadlines.sleep(ANNOUNCE) => {
+                drain.send_if_modified(|drain| {
+                    let due = *drain == Drain::Announced;
+                    *drain = if due { Drain::Closing } else { *drain };
+                    due
+                });
+            }
+            _ = drains.wait_for(|drain| *drain != Drain::Announced) => {}
+        }
+    }
+}
+
 /// A call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Call {
@@ -82,6 +100,10 @@
     pub phase: watch::Receiver<Phase>,
     /// The drain of this instance.
     pub drain: watch::Sender<Drain>,
+    /// Whether this process decides.
+    pub role: watch::Receiver<Role>,
+    /// Another process at this address.
+    pub other: Other,
     /// The engine.
     pub engine: Engine,
     /// Where bans are kept for the process that comes next.
@@ -105,7 +127,6 @@
     closed: Notify,
     /// Those that have sent no whole line, the oldest first; one is closed by dropping its sender.
     silent: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
-    announced: RefCell<Option<AbortHandle>>,
 }
 
 impl Door {
@@ -116,7 +137,6 @@
             open: Cell::new(0),
             closed: Notify::new(),
             silent: RefCell::default(),
-            announced: RefCell::default(),
         });
         for number in 0.. {
             let stream = match listener.accept().await {
@@ -169,8 +189,8 @@
 
     async fn answer(&self, call: Call) -> String {
         match call {
-            Call::Ready => match *self.door.phase.borrow() {
-                Phase::Serving => "ok ready\n".to_owned(),
+            Call::Ready => match (*self.door.phase.borrow(), *self.door.role.borrow()) {
+                (Phase::Serving, Role::Active) => "ok ready\n".to_owned(),
                 _ => "fail not ready\n".to_owned(),
             },
             Call::ShowStat => match self.engine(Operation::Look).await {
@@ -193,14 +213,11 @@
                 }
             }
             Call::Drain => {
-                self.drain();
+                self.drain(true);
                 "ok draining\n".to_owned()
             }
             Call::Resume => {
-                self.announced.borrow_mut().take().inspect(AbortHandle::abort);
-                if self.door.drain.send_replace(Drain::No) != Drain::No {
-                    info!(self.door.log, "an operator ends the drain");
-                }
+                self.drain(false);
                 "ok\n".to_owned()
             }
         }
@@ -211,19 +228,17 @@
         self.door.deadlines.within(ANSWER, answer).await.unwrap_or(Err("no answer in time"))
     }
 
-    /// Sends clients away: first `/ready` says so, then their connections are closed after their answers.
-    fn drain(&self) {
-        if *self.door.drain.borrow() != Drain::No {
-            return;
+    /// Sends clients away, or ends that, here and where another process has taken over.
+    fn drain(&self, drained: bool) {
+        let drain = if drained { Drain::Announced } else { Drain::No };
+        if (*self.door.drain.borrow() != Drain::No) != drained {
+            match drained {
+                true => info!(self.door.log, "an operator drains this instance"),
+                false => info!(self.door.log, "an operator ends the drain"),
+            }
+            self.door.drain.send_replace(drain);
         }
-        info!(self.door.log, "an operator drains this instance");
-        self.door.drain.send_replace(Drain::Announced);
-        let (drain, pause) = (self.door.drain.clone(), self.door.deadlines.sleep(ANNOUNCE));
-        let task = spawn_local(async move {
-            pause.await;
-            drain.send_replace(Drain::Closing);
-        });
-        *self.announced.borrow_mut() = Some(task.abort_handle());
+        self.door.other.drain(drained);
     }
 
     fn keep(&self, bans: &[String]) {
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -2,6 +2,10 @@
 //! them at once must not take the memory.
 
 use std::cell::Cell;
+use std::rc::Rc;
+
+/// Connections to real servers that a process before still holds, at the least one while it lives.
+pub type Elsewhere = Rc<Cell<usize>>;
 
 /// A message of up to this many bytes always fits: the number of connections bounds these.
 const SMALL: usize = 8 * 1024;
@@ -10,6 +14,7 @@
 #[derive(Debug)]
 pub struct Budget {
     most: usize,
+    elsewhere: Elsewhere,
     held: Cell<usize>,
 }
 
@@ -21,9 +26,13 @@
 }
 
 impl Budget {
-    /// A budget of this many bytes.
-    pub fn new(most: usize) -> Self {
-        Self { most, held: Cell::new(0) }
+    /// A budget of this many bytes; half of it while another process has some of the same memory.
+    pub fn new(most: usize, elsewhere: Elsewhere) -> Self {
+        Self { most, elsewhere, held: Cell::new(0) }
+    }
+
+    fn most(&self) -> usize {
+        if self.elsewhere.get() > 0 { self.most / 2 } else { self.most }
     }
 
     /// A holder of nothing yet.
@@ -36,7 +45,7 @@
     /// Holds this many bytes in all from now on; false where they do not fit beside those of the others.
     pub fn grow(&mut self, bytes: usize) -> bool {
         let all = self.budget.held.get() - self.bytes + bytes;
-        let fits = bytes <= SMALL || all <= self.budget.most;
+        let fits = bytes <= SMALL || all <= self.budget.most();
         if fits {
             self.budget.held.set(all);
             self.bytes = bytes;
@@ -57,10 +66,13 @@
 
     #[test]
     fn large_messages_fit_while_others_leave_room_and_small_ones_always_do() {
-        let budget = Budget::new(100_000);
+        let elsewhere = Elsewhere::default();
+        let budget = Budget::new(100_000, elsewhere.clone());
         let (mut one, mut two) = (budget.hold(), budget.hold());
         assert!(one.grow(60_000) && one.grow(70_000) && !two.grow(40_000) && two.grow(8000));
         drop(one);
         assert!(two.grow(100_000) && !two.grow(100_001));
+        elsewhere.set(1);
+        assert!(!two.grow(100_000) && two.grow(50_000), "another process has its half");
     }
 }
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -1,9 +1,10 @@
 //! The client side: carries schedulings to real servers over pools of connections, one at a time on each, and
 //! reports how each ended, once. Nothing is ever sent a second time here.
 
-use super::budget::Budget;
+use super::budget::{Budget, Elsewhere};
 use super::http::{Bad, Head, Kind, MESSAGE, Message, take_message};
 use super::schedulings::{Ending, Job, Pool, Schedulings, Stage};
+use super::server_side::Role;
 use super::stream::{connect, read_more};
 use crate::config::Site;
 use crate::deadlines::Deadlines;
@@ -22,7 +23,7 @@
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 
 /// An idle connection is closed after this part of the time after which a real server may close it.
@@ -51,10 +52,23 @@
 /// The ways to idle connections; once one is dropped, its connection is closed.
 type Idle = Vec<oneshot::Sender<Work>>;
 
+/// What passes between processes at one address.
+#[derive(Debug)]
+pub struct Links {
+    /// Whether this process decides.
+    pub role: watch::Receiver<Role>,
+    /// Where idle connections go that another process is to have.
+    pub passing: mpsc::UnboundedSender<(ServerId, TcpStream)>,
+    /// What another process has still open.
+    pub elsewhere: Elsewhere,
+    /// What is open here.
+    pub open: Rc<Cell<usize>>,
+}
+
 #[derive(Debug)]
 struct Inner {
     schedulings: Schedulings<Question, Answer, Idle>,
-    open: Cell<usize>,
+    links: Links,
     most: usize,
     budget: Budget,
     deadlines: Deadlines,
@@ -75,15 +89,30 @@
         site: Site,
         (most, budget): (usize, Budget),
         stats: Arc<Stats>,
+        links: Links,
         log: Logger,
     ) -> Self {
-        let (schedulings, open) = (Schedulings::new(exchange), Cell::new(0));
-        Self(Rc::new(Inner { schedulings, open, most, budget, deadlines, site, stats, log }))
+        let schedulings = Schedulings::new(exchange);
+        Self(Rc::new(Inner { schedulings, links, most, budget, deadlines, site, stats, log }))
     }
 
     /// Carries out orders until there are no more.
-    pub async fn run(self, orders: mpsc::UnboundedReceiver<Order<Question>>) {
-        self.0.schedulings.run(orders, |server, job| Inner::start(&self.0, server, job)).await;
+    pub async fn run(
+        self,
+        orders: mpsc::UnboundedReceiver<Order<Question>>,
+        mut passed: mpsc::UnboundedReceiver<(ServerId, TcpStream)>,
+    ) {
+        let adopting = async {
+            while let Some((server, stream)) = passed.recv().await {
+                Inner::adopt(&self.0, server, stream);
+            }
+            std::future::pending().await
+        };
+        let orders = self.0.schedulings.run(orders, |server, job| Inner::start(&self.0, server, job));
+        tokio::select! {
+            () = orders => {}
+            () = adopting => {}
+        }
     }
 }
 
@@ -101,13 +130,24 @@
             }
         }
         let at = pool.at;
-        if this.open.get() >= this.most && !evict(&mut pools) {
+        // What another process still holds counts here, too, but must not take all.
+        let most = this.most - this.links.elsewhere.get().min(this.most * 3 / 4);
+        if this.links.open.get() >= most && !evict(&mut pools) {
             debug!(this.log, "no descriptor for a connection to a real server"; "real_server" => %at);
             // Prevents a real server from being taken for unreachable, or full, for want of room here.
             return this.schedulings.ended(job.id, Ending::badly(Outcome::Moot));
         }
-        this.open.set(this.open.get() + 1);
-        spawn_local(connection(Open(this.clone()), server, at, job));
+        spawn_local(connection(Open::new(this), server, at, job));
+    }
+
+    /// Keeps an idle connection that another process had.
+    fn adopt(this: &Rc<Self>, server: ServerId, stream: TcpStream) {
+        let at = this.schedulings.pools.borrow().get(&server).map(|pool| pool.at);
+        if let Some(at) = at.filter(|at| stream.peer_addr().is_ok_and(|peer| peer == *at))
+            && let Some(next) = this.park(server, at)
+        {
+            spawn_local(life(Open::new(this), (server, at), stream, Then::Wait(next)));
+        }
     }
 
     /// Puts a connection by for the next job; none where its real server is not to have any.
@@ -130,9 +170,16 @@
 /// An open connection's share in the count.
 struct Open(Rc<Inner>);
 
+impl Open {
+    fn new(side: &Rc<Inner>) -> Self {
+        side.links.open.set(side.links.open.get() + 1);
+        Self(side.clone())
+    }
+}
+
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.0.links.open.set(self.0.links.open.get() - 1);
     }
 }
 
@@ -143,7 +190,19 @@
     (Ending::badly(outcome), false)
 }
 
-/// A connection's life: its first job, and those that come while it is idle.
+/// What follows on a connection.
+enum Then {
+    /// It carries a job.
+    Carry(Work),
+    /// It waits for the next one.
+    Wait(oneshot::Receiver<Work>),
+    /// Another process is to have it.
+    Pass,
+    /// It ends.
+    End,
+}
+
+/// Opens a connection for its first job.
 async fn connection(open: Open, server: ServerId, at: SocketAddr, mut job: Work) {
     let side = open.0.clone();
     let connected = tokio::select! {
@@ -151,44 +210,68 @@
         _ = &mut job.given_up => return,
         connected = side.deadlines.within(side.site.connect_timeout, connect(at)) => connected,
     };
-    let Some(Ok(mut stream)) = connected else {
-        return side.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed));
-    };
+    match connected {
+        Some(Ok(stream)) => life(open, (server, at), stream, Then::Carry(job)).await,
+        _ => side.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed)),
+    }
+}
+
+/// A connection's life: jobs, and the time between them.
+async fn life(open: Open, (server, at): (ServerId, SocketAddr), mut stream: TcpStream, mut then: Then) {
+    let side = open.0.clone();
     let mut buffer = BytesMut::new();
     loop {
-        let id = job.id;
-        let (ending, reusable) = tokio::select! {
-            biased;
-            _ = &mut job.given_up => return,
-            went = side.carry(&mut stream, &mut buffer, at, (&job.question, job.wait, &job.stage)) => went,
+        then = match then {
+            Then::Carry(mut job) => {
+                let (ending, reusable) = tokio::select! {
+                    biased;
+                    _ = &mut job.given_up => return,
+                    went = side.carry(&mut stream, &mut buffer, at, (&job.question, job.wait, &job.stage)) => went,
+                };
+                let next = if reusable { side.park(server, at) } else { None };
+                side.schedulings.ended(job.id, ending);
+                next.map_or(Then::End, Then::Wait)
+            }
+            Then::Wait(next) => wait(&side, server, &mut stream, &mut buffer, next).await,
+            Then::Pass => return drop(side.links.passing.send((server, stream))),
+            Then::End => return,
         };
-        let next = if reusable { side.park(server, at) } else { None };
-        side.schedulings.ended(id, ending);
-        let Some(mut next) = next else { return };
-        tokio::select! {
-            biased;
-            // The real server closes it, or says what nobody asked.
-            _ = read_more(&mut stream, &mut buffer) => {}
-            coming = &mut next => match coming {
-                Ok(coming) if quiet(&stream) => {
-                    job = coming;
-                    continue;
-                }
-                // Prevents what came behind the last answer from being taken for the next flow's.
-                Ok(coming) => return Inner::start(&side, server, coming),
-                Err(_) => return,
-            },
-            () = side.deadlines.sleep(side.site.conn_idle * IDLE_PART) => {}
-        }
-        // A job that was handed over as the connection ended: nothing of it was written.
-        next.close();
-        if let Ok(job) = next.try_recv() {
-            Inner::start(&side, server, job);
-        }
-        return;
     }
 }
 
+/// Waits on an idle connection for the next job that it is to carry.
+async fn wait(
+    side: &Rc<Inner>,
+    server: ServerId,
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    mut next: oneshot::Receiver<Work>,
+) -> Then {
+    let mut role = side.links.role.clone();
+    let then = tokio::select! {
+        biased;
+        // The real server closes it, or says what nobody asked.
+        _ = read_more(stream, buffer) => Then::End,
+        coming = &mut next => return match coming {
+            Ok(coming) if quiet(stream) => Then::Carry(coming),
+            // Prevents what came behind the last answer from being taken for the next flow's.
+            Ok(coming) => {
+                Inner::start(side, server, coming);
+                Then::End
+            }
+            Err(_) => Then::End,
+        },
+        Ok(_) = role.wait_for(|role| *role == Role::Gone) => Then::Pass,
+        () = side.deadlines.sleep(side.site.conn_idle * IDLE_PART) => Then::End,
+    };
+    // A job that was handed over as the connection ended: nothing of it was written.
+    next.close();
+    if let Ok(job) = next.try_recv() {
+        Inner::start(side, server, job);
+    }
+    then
+}
+
 /// Whether nothing has come on an idle connection, asked of the system itself: the runtime may not have seen yet
 /// what came since it last waited.
 fn quiet(stream: &TcpStream) -> bool {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::pacing::Pacing;
 use bytes::BytesMut;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use slog::{Logger, info, warn};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -22,7 +23,7 @@
 const BACKOFF: [Millis; 2] = [50.0, 1000.0];
 
 /// A service entry: a line of the list.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceEntry {
     /// What the decisions know of the real server.
     pub entry: ServerEntry,
@@ -31,7 +32,7 @@
 }
 
 /// What discovery tells.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct List {
     /// Its version.
     pub generation: u64,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,4 +11,4 @@
 pub mod server_side;
 pub mod stream;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,41 +1,51 @@
 //! Messages between ingresses: UDP datagrams, late or lost, of 256 bytes at most.
 
+use super::server_side::Role;
 use crate::interface::{GatewayId, MESSAGE_BYTES};
 use slog::{Logger, debug};
-use std::io;
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// The way to the peers and from them.
 #[derive(Debug)]
 pub struct Peers {
     socket: UdpSocket,
     addresses: Vec<SocketAddr>,
+    /// Of two processes only the one that decides hears and speaks.
+    role: watch::Receiver<Role>,
     log: Logger,
 }
 
 impl Peers {
-    /// Listens for the peers; their addresses stand in the order of their numbers.
-    pub async fn listen(at: SocketAddr, addresses: Vec<SocketAddr>, log: Logger) -> io::Result<Self> {
-        Ok(Self { socket: UdpSocket::bind(at).await?, addresses, log })
+    /// Hears the peers on a socket; their addresses stand in the order of their numbers.
+    pub fn new(
+        socket: UdpSocket,
+        addresses: Vec<SocketAddr>,
+        role: watch::Receiver<Role>,
+        log: Logger,
+    ) -> Self {
+        Self { socket, addresses, role, log }
     }
 
     /// Sends what the engine wants sent and tells what peers say, until there is nothing more to send.
     pub async fn run(
-        self,
+        mut self,
         mut mail: mpsc::UnboundedReceiver<(GatewayId, Vec<u8>)>,
         mut tell: impl FnMut(GatewayId, Vec<u8>),
     ) {
         // One byte more than is allowed shows a datagram that is too long.
         let mut buffer = [0; MESSAGE_BYTES + 1];
         loop {
+            let active = *self.role.borrow_and_update() == Role::Active;
             tokio::select! {
                 outgoing = mail.recv() => match outgoing {
-                    Some((to, bytes)) => self.send(to, &bytes).await,
+                    Some((to, bytes)) if active => self.send(to, &bytes).await,
+                    Some(_) => {}
                     None => return,
                 },
-                incoming = self.socket.recv_from(&mut buffer) => {
+                Ok(()) = self.role.changed() => {}
+                incoming = self.socket.recv_from(&mut buffer), if active => {
                     if let Some((from, bytes)) = incoming.ok().and_then(|(n, at)| self.accept(at, &buffer[..n])) {
                         tell(from, bytes);
                     }
@@ -86,7 +96,8 @@
         mail.send((GatewayId(5), vec![9])).unwrap();
         mail.send((GatewayId(1), vec![1, 2])).unwrap();
         let (heard, mut hears) = mpsc::unbounded_channel();
-        let peers = Peers { socket: a, addresses, log };
+        let (_role, role) = watch::channel(Role::Active);
+        let peers = Peers::new(a, addresses, role, log);
         let running = tokio::spawn(peers.run(sent, move |from, bytes| drop(heard.send((from, bytes)))));
         assert_eq!(hears.recv().await.unwrap(), (GatewayId(1), vec![8; MESSAGE_BYTES]));
         let mut buffer = [0; 2 * MESSAGE_BYTES];
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 
 /// A client's connection is closed when idle for this long: many ask once and stay.
@@ -73,15 +73,41 @@
     Closing,
 }
 
+/// Which of two processes at one address this is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It comes next, and waits for what the other one has.
+    Waiting,
+    /// It decides.
+    Active,
+    /// It has handed all over, and ends what it has out.
+    Gone,
+}
+
 /// What the server side goes by.
 #[derive(Debug, Clone)]
 pub struct Signals {
+    /// Whether this process takes flows.
+    pub role: watch::Receiver<Role>,
     /// How far the program is.
     pub phase: watch::Receiver<Phase>,
     /// Whether clients are sent away.
     pub drain: watch::Receiver<Drain>,
 }
 
+/// A client's connection between answers, on its way to another process.
+#[derive(Debug)]
+pub struct Passing {
+    /// The connection.
+    pub stream: TcpStream,
+    /// What has come of a message.
+    pub bytes: BytesMut,
+    /// It has brought flows.
+    pub flows: bool,
+    /// How long ago its message began, where one has.
+    pub age: Option<Millis>,
+}
+
 /// The server side of the platform's front.
 #[derive(Debug)]
 pub struct ServerSide<F> {
@@ -103,6 +129,8 @@
     /// are idle after one. One is closed by dropping its sender.
     spare: RefCell<[BTreeMap<u64, Spare>; 2]>,
     turns: Cell<u64>,
+    /// Where connections go that another process is to have.
+    passing: mpsc::UnboundedSender<Passing>,
     /// The ids of the flows that are open.
     ids: RefCell<HashSet<Bytes>>,
     /// Where bytes go that nobody wants.
@@ -137,7 +165,7 @@
         read: F,
         exchange: Exchange<Question, Answer>,
         deadlines: Deadlines,
-        signals: Signals,
+        (signals, passing): (Signals, mpsc::UnboundedSender<Passing>),
         stats: Arc<Stats>,
         (room, retry_after): (Room, Millis),
         log: Logger,
@@ -157,6 +185,7 @@
                 closed,
                 spare,
                 turns,
+                passing,
                 ids,
                 scratch,
                 log,
@@ -164,12 +193,13 @@
         }
     }
 
-    /// Takes connections in until it drains and the last one is closed.
-    pub async fn run(self, listener: TcpListener) {
+    /// Takes connections in, and those that another process passes on, until it drains and the last one is closed.
+    pub async fn run(self, listener: TcpListener, mut passed: mpsc::UnboundedReceiver<Passing>) {
         let shared = self.shared;
-        let Signals { mut phase, mut drain } = shared.signals.clone();
+        let Signals { mut role, mut phase, mut drain } = shared.signals.clone();
         let hard = shared.room.connections + shared.room.turned_away;
         loop {
+            let active = *role.borrow_and_update() == Role::Active;
             let crowded = shared.crowded();
             if crowded > 0 && shared.make_room(crowded) {
                 // They close before others are taken.
@@ -178,20 +208,28 @@
             tokio::select! {
                 // Prevents a flood of connections from using up the descriptors kept for real servers.
                 // Nor are flows turned away while room is soon to be had.
-                accepted = listener.accept(), if shared.open.get() < hard && !shared.waits() => match accepted {
+                accepted = listener.accept(), if active && shared.open.get() < hard && !shared.waits() => match accepted {
                     Ok((stream, _)) => {
                         let _ = stream.set_nodelay(true);
                         let full = shared.open.get() >= shared.room.connections;
                         shared.open.set(shared.open.get() + 1);
-                        let connected = shared.deadlines.clock().now();
+                        let began = Some(shared.deadlines.clock().now());
                         let (flows, shared) = (Cell::new(false), shared.clone());
-                        spawn_local(Connection { shared, full, connected, flows }.run(stream));
+                        let connection = Connection { shared, full, flows };
+                        spawn_local(connection.run(stream, BytesMut::new(), began));
                     }
                     Err(e) => {
                         warn!(shared.log, "a connection could not be accepted"; "error" => %e);
                         shared.deadlines.sleep(50.0).await;
                     }
                 },
+                Some(Passing { stream, bytes, flows, age }) = passed.recv() => {
+                    shared.open.set(shared.open.get() + 1);
+                    let began = age.map(|age| shared.deadlines.clock().now() - age);
+                    let connection = Connection { shared: shared.clone(), full: false, flows: Cell::new(flows) };
+                    spawn_local(connection.run(stream, bytes, began));
+                }
+                Ok(()) = role.changed() => {}
                 () = shared.closed.notified(), if shared.open.get() >= hard => {}
                 // The spare ones of now are old enough then.
                 () = shared.deadlines.sleep(YOUNG / 4.0), if crowded > 0 => {}
@@ -260,12 +298,21 @@
     }
 }
 
+/// What follows on a connection.
+enum Next {
+    /// A whole message.
+    Message(Message),
+    /// It ends between messages, or is closed there.
+    Over,
+    /// Another process is to have it.
+    Pass,
+}
+
 /// A client's connection.
 struct Connection<F> {
     shared: Rc<Shared<F>>,
     /// It came when there was no room: its flow is turned away.
     full: bool,
-    connected: Millis,
     /// It has brought a flow.
     flows: Cell<bool>,
 }
@@ -287,20 +334,26 @@
 }
 
 impl<F: Fn(&Message) -> Asked> Connection<F> {
-    async fn run(self, mut stream: TcpStream) {
-        let (mut buffer, mut out, mut first) = (BytesMut::new(), BytesMut::new(), true);
+    async fn run(self, mut stream: TcpStream, mut buffer: BytesMut, mut began: Option<Millis>) {
+        let mut out = BytesMut::new();
         loop {
             out.clear();
             let mut held = self.shared.room.budget.hold();
             let mut counts = None;
-            let again = match self.next(&mut stream, &mut buffer, &mut held, first).await {
-                Ok(Some(message)) => {
+            let again = match self.next(&mut stream, &mut buffer, &mut held, &mut began).await {
+                Ok(Next::Message(message)) => {
                     let said = self.answer(&message, &mut stream, &mut buffer, &mut out).await;
                     let Some((close, count)) = said else { return };
                     counts = count;
                     !close
                 }
-                Ok(None) => return,
+                Ok(Next::Over) => return,
+                Ok(Next::Pass) => {
+                    let age = began.map(|began| self.shared.deadlines.clock().now() - began);
+                    let (bytes, flows) = (buffer, self.flows.get());
+                    let _ = self.shared.passing.send(Passing { stream, bytes, flows, age });
+                    return;
+                }
                 Err((status, text)) => {
                     let after = (status == 503).then_some(self.shared.retry_after);
                     plain(&mut out, status, text, after, true);
@@ -313,7 +366,7 @@
                 Taken::ended(taken, end);
             }
             match written {
-                Some(Ok(())) if again => first = false,
+                Some(Ok(())) if again => began = None,
                 Some(Ok(())) => {
                     let _ = stream.shutdown().await;
                     drop((buffer, out));
@@ -348,23 +401,29 @@
     }
 
     fn draining(&self) -> bool {
-        let Signals { phase, drain } = &self.shared.signals;
-        *phase.borrow() == Phase::Draining || *drain.borrow() == Drain::Closing
+        let Signals { role, phase, drain } = &self.shared.signals;
+        let ends = *phase.borrow() == Phase::Draining || *drain.borrow() == Drain::Closing;
+        // Where another process has taken over, it has the connection next.
+        ends && *role.borrow() != Role::Gone
     }
 
-    /// The next whole message; none where the connection ends between messages, or is closed there.
+    /// The next whole message, if the connection neither ends nor is closed nor passes on before it.
     async fn next(
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         held: &mut Held<'_>,
-        first: bool,
-    ) -> Result<Option<Message>, (u16, &'static str)> {
+        began: &mut Option<Millis>,
+    ) -> Result<Next, (u16, &'static str)> {
         let shared = &self.shared;
-        let mut began = if first { Some(self.connected) } else { None };
+        let first = began.is_some() && !self.flows.get();
+        let mut role = shared.signals.role.clone();
         loop {
+            if *role.borrow() == Role::Gone && !self.full {
+                return Ok(Next::Pass);
+            }
             match take_message(buffer, Kind::Request, false) {
-                Ok(Some(message)) => return Ok(Some(message)),
+                Ok(Some(message)) => return Ok(Next::Message(message)),
                 Ok(None) => {}
                 Err(Bad::Malformed) => return Err((400, "malformed request")),
                 Err(Bad::BodyTooLarge) => return Err((413, "the body is larger than 64 KiB")),
@@ -377,7 +436,7 @@
             } else if !held.grow(buffer.len()) {
                 return Err((503, "no room"));
             }
-            let ends = match (idle, began) {
+            let ends = match (idle, *began) {
                 (true, None) => now + IDLE,
                 _ => *began.get_or_insert(now) + SLOW,
             };
@@ -405,6 +464,7 @@
                 biased;
                 more = more => Some(more.unwrap_or(false)),
                 () = closing => None,
+                Ok(_) = role.wait_for(|role| *role == Role::Gone), if !self.full => Some(true),
                 () = shared.deadlines.sleep(ends - now) => None,
             };
             if let Some((place, _)) = spare {
@@ -413,7 +473,7 @@
             match more {
                 Some(true) => {}
                 None if !idle => return Err((408, "the request took too long to come in")),
-                _ => return Ok(None),
+                _ => return Ok(Next::Over),
             }
         }
     }
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -16,7 +16,7 @@
 }
 
 /// Feeds `bytes` in pieces cut at these places and collects what `parse` gives; it says when it wants more.
-fn in_pieces<T>(bytes: &[u8], cuts: &[u16], mut parse: impl FnMut(&[u8]) -> Vec<T>) -> Vec<T> {
+pub(crate) fn in_pieces<T>(bytes: &[u8], cuts: &[u16], mut parse: impl FnMut(&[u8]) -> Vec<T>) -> Vec<T> {
     let mut places: Vec<usize> = cuts.iter().map(|cut| usize::from(*cut) % (bytes.len() + 1)).collect();
     places.extend([0, bytes.len()]);
     places.sort_unstable();
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,33 +4,39 @@
 use crate::consul::Watch;
 use crate::deadlines::{Clock, Deadlines};
 use crate::engine::{Bounds, Engine, Outlets};
-use crate::exchange::{Exchange, News, Order};
+use crate::exchange::{Exchange, News, Operation, Order};
 use crate::fronts::ext_authz::authorisers::Authorisers;
 use crate::fronts::ext_authz::service::{self, CheckService};
 use crate::fronts::ext_authz::{Check, Front};
 use crate::fronts::platform;
-use crate::interface::Millis;
+use crate::handover::{self, Reader, Writer};
+use crate::interface::{AttemptEnd, Millis};
 use crate::maintenance::{Maintenance, read_bans};
-use crate::management::{Door, Told};
-use crate::net::budget::Budget;
-use crate::net::client_side::{Answer, ClientSide, Question};
+use crate::management::{self, Door, Told};
+use crate::net::budget::{Budget, Elsewhere};
+use crate::net::client_side::{Answer, ClientSide, Links, Question};
 use crate::net::counter::Counter;
 use crate::net::discovery::{Discovery, List};
 use crate::net::peers::Peers;
-use crate::net::server_side::{Drain, Phase, Room, ServerSide, Signals};
+use crate::net::server_side::{Drain, Phase, Role, Room, ServerSide, Signals};
 use crate::net::stream::Way;
 use crate::state::Limiter;
 use crate::stats::Stats;
+use crate::succession::{Leaving, Other, Succession};
 use bytes::Bytes;
 use slog::{Logger, info, warn};
+use socket2::{Domain, Socket, Type};
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::path::Path;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinHandle, JoinSet, LocalSet, spawn_local};
 
@@ -42,6 +48,8 @@
 const DRAIN_SLACK: Millis = 100.0;
 /// The most checks at once for each connection that clients may have.
 const CHECKS: usize = 2;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
 
 /// Runs a future on a runtime of one thread.
 pub fn block_on<F: Future<Output = io::Result<()>>>(future: F) -> io::Result<()> {
@@ -49,10 +57,64 @@
     LocalSet::new().block_on(&runtime, future)
 }
 
-/// Where bans are kept, for the process that comes next at this address; nowhere without a folder for it.
-fn bans_file(listen: SocketAddr) -> Option<PathBuf> {
-    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
-    Some(PathBuf::from(folder).join(format!("weldhub-{}-{}.bans", listen.ip(), listen.port())))
+/// What an ingress of the platform is given to serve on.
+#[derive(Debug)]
+pub struct Sockets {
+    /// The clients' listener.
+    pub listener: TcpListener,
+    /// The peers' socket; bound where it is none.
+    pub peers: Option<std::net::UdpSocket>,
+    /// The link to the process that had them before.
+    pub link: Option<(Reader, Writer)>,
+}
+
+impl From<TcpListener> for Sockets {
+    fn from(listener: TcpListener) -> Self {
+        Self { listener, peers: None, link: None }
+    }
+}
+
+impl Sockets {
+    /// Gets them from the process that serves at this address, or binds them. Where operators may start one process
+    /// beside another, both may be bound at once: an old one that hangs must not keep the new one out.
+    pub async fn get(instance: &Instance, log: &Logger) -> io::Result<Self> {
+        let path = instance.management.and_then(|_| handover::path(instance.listen, "next"));
+        let got = match path {
+            Some(path) => handover::ask(&path).await.unwrap_or_else(|e| {
+                warn!(log, "no sockets from the old process"; "why" => %e);
+                None
+            }),
+            None => None,
+        };
+        if let Some(got) = got {
+            let listener = std::net::TcpListener::from(got.listener);
+            let peers = got.peers.map(std::net::UdpSocket::from);
+            listener.set_nonblocking(true)?;
+            peers.as_ref().map(|peers| peers.set_nonblocking(true)).transpose()?;
+            let link = Some((got.reader, got.writer));
+            return Ok(Self { listener: TcpListener::from_std(listener)?, peers, link });
+        }
+        let socket = match instance.listen {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        if instance.management.is_some() {
+            socket.set_reuseport(true)?;
+        }
+        socket.bind(instance.listen)?;
+        Ok(socket.listen(BACKLOG)?.into())
+    }
+}
+
+fn bind_peers(instance: &Instance, at: SocketAddr) -> io::Result<std::net::UdpSocket> {
+    let socket = Socket::new(Domain::for_address(at), Type::DGRAM, None)?;
+    if instance.management.is_some() {
+        socket.set_reuse_port(true)?;
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    Ok(socket.into())
 }
 
 /// The bans that a process before has left; what cannot be read is passed over.
@@ -85,6 +147,9 @@
     stats: Arc<Stats>,
     phase: watch::Sender<Phase>,
     drain: watch::Sender<Drain>,
+    role: watch::Sender<Role>,
+    other: Other,
+    ended: mpsc::UnboundedReceiver<AttemptEnd>,
 }
 
 impl<Q: Clone + 'static, A: 'static> Core<Q, A> {
@@ -93,6 +158,7 @@
         ways: &watch::Receiver<Ways>,
         known: Option<List>,
         flows: usize,
+        (peers, role): (Option<UdpSocket>, Role),
         log: &Logger,
     ) -> io::Result<Self> {
         let deadlines = Deadlines::new(Clock::new());
@@ -106,9 +172,12 @@
         };
         let site = &instance.site;
         let limiter = Limiter::new(site.settings.clone(), instance.seed).map_err(io::Error::other)?;
-        let (exchange, news) = Exchange::new();
+        // Prevents numbers of flows from meeting those of another process.
+        let (exchange, news) = Exchange::from((deadlines.clock().now() as u64) << 20);
         let (orders, ordered) = mpsc::unbounded_channel();
-        let mut outlets = Outlets { orders, counter: None, peers: None };
+        let (successor, ended) = mpsc::unbounded_channel();
+        let role = watch::Sender::new(role);
+        let mut outlets = Outlets { orders, counter: None, successor, peers: None };
         let mut parts = JoinSet::new();
         if let Some(at) = instance.counter.filter(|_| site.settings.counter) {
             let (calls, made) = mpsc::unbounded_channel();
@@ -119,8 +188,8 @@
                 .spawn_local(counter.run(made, move |seq, answer| exchange.tell(News::Counted(seq, answer))));
             outlets.counter = Some(calls);
         }
-        if let Some(at) = instance.peer_listen.filter(|_| site.settings.peers) {
-            let peers = Peers::listen(at, instance.peers.clone(), log.clone()).await?;
+        if let Some(socket) = peers {
+            let peers = Peers::new(socket, instance.peers.clone(), role.subscribe(), log.clone());
             let (mail, sent) = mpsc::unbounded_channel();
             let exchange = exchange.clone();
             parts.spawn_local(peers.run(sent, move |from, bytes| exchange.tell(News::Heard(from, bytes))));
@@ -132,24 +201,35 @@
             counter_timeout: site.settings.counter_timeout,
             retry_after: site.max_retry_after,
         };
-        let bans = instance.management.and_then(|_| bans_file(instance.listen));
+        let bans = instance.management.and_then(|_| handover::path(instance.listen, "bans"));
         let maintenance = Maintenance::with(bans.iter().flat_map(|path| kept_bans(path, log)));
         let deciding = (limiter, maintenance);
         let engine = Engine::new(deciding, deadlines.clone(), news, outlets, bounds, log.clone());
         parts.spawn_local(engine.run(known));
         let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
         let (phase, drain) = (watch::Sender::new(Phase::Starting), watch::Sender::new(Drain::No));
+        let other = Other::default();
+        parts.spawn_local(management::announce(drain.clone(), deadlines.clone()));
         if let Some(listener) = door {
-            let exchange = exchange.clone();
-            let engine = move |operation| -> Pin<Box<dyn Future<Output = Told>>> {
+            let (exchange, both, pauses) = (exchange.clone(), other.clone(), deadlines.clone());
+            let engine = move |operation: Operation| -> Pin<Box<dyn Future<Output = Told>>> {
                 let (reply, answer) = oneshot::channel();
-                exchange.tell(News::Operate(operation, reply));
-                Box::pin(async move { answer.await.unwrap_or(Err("the engine has ended")) })
+                exchange.tell(News::Operate(operation.clone(), reply));
+                let (both, pauses) = (both.clone(), pauses.clone());
+                Box::pin(async move {
+                    let told = answer.await.unwrap_or(Err("the engine has ended"));
+                    if told.is_ok() && operation != Operation::Look {
+                        both.operate(operation, &pauses).await;
+                    }
+                    told
+                })
             };
             let door = Door {
                 stats: stats.clone(),
                 phase: phase.subscribe(),
                 drain: drain.clone(),
+                role: role.subscribe(),
+                other: other.clone(),
                 engine: Box::new(engine),
                 bans,
                 deadlines: deadlines.clone(),
@@ -167,11 +247,14 @@
             stats,
             phase,
             drain,
+            role,
+            other,
+            ended,
         })
     }
 
     fn signals(&self) -> Signals {
-        Signals { phase: self.phase.subscribe(), drain: self.drain.subscribe() }
+        Signals { role: self.role.subscribe(), phase: self.phase.subscribe(), drain: self.drain.subscribe() }
     }
 
     /// Where lists are told.
@@ -188,11 +271,15 @@
         mut self,
         instance: &Instance,
         mut taking: JoinHandle<()>,
+        taking_over: impl FnOnce(),
         stop: JoinHandle<()>,
         log: Logger,
     ) -> io::Result<()> {
         let mut told = self.told.subscribe();
         let _ = self.deadlines.within(LIST_WAIT, told.wait_for(|told| *told)).await;
+        taking_over();
+        let mut role = self.role.subscribe();
+        let _ = role.wait_for(|role| *role != Role::Waiting).await;
         self.phase.send_replace(Phase::Serving);
         info!(log, "serving"; "name" => &instance.name, "listen" => %instance.listen);
         tokio::select! {
@@ -204,7 +291,9 @@
         }
         info!(log, "stopping");
         self.phase.send_replace(Phase::Stopping);
-        self.deadlines.sleep(SERVE_ON).await;
+        if *role.borrow() == Role::Active {
+            self.deadlines.sleep(SERVE_ON).await;
+        }
         self.phase.send_replace(Phase::Draining);
         let drained = self.deadlines.within(self.longest + DRAIN_SLACK, &mut taking).await.is_some();
         info!(log, "stopped"; "all_answered" => drained);
@@ -216,7 +305,7 @@
 /// counter are to be found from now on.
 pub async fn serve(
     config: Config,
-    listener: TcpListener,
+    sockets: impl Into<Sockets>,
     log: Logger,
     ways: watch::Receiver<Ways>,
     stop: impl Future<Output = ()> + 'static,
@@ -226,8 +315,43 @@
     let Config { instance, discovery: agent, known } = config;
     let (site, generation) = (&instance.site, known.as_ref().map(|known| known.generation));
     let [flows, turned_away, servers] = instance.limits.connections();
-    let budget = || Budget::new(instance.limits.messages());
-    let mut core = Core::<Question, Answer>::start(&instance, &ways, known, flows, &log).await?;
+    let elsewhere = Elsewhere::default();
+    let budget = || Budget::new(instance.limits.messages(), elsewhere.clone());
+    let Sockets { listener, peers, link } = sockets.into();
+    let peers = match instance.peer_listen.filter(|_| site.settings.peers) {
+        Some(at) if peers.is_none() => Some(bind_peers(&instance, at)?),
+        _ => peers,
+    };
+    let copy = |socket: BorrowedFd<'_>| socket.try_clone_to_owned();
+    let leaving = (copy(listener.as_fd())?, peers.as_ref().map(|peers| copy(peers.as_fd())).transpose()?);
+    let role = if link.is_some() { Role::Waiting } else { Role::Active };
+    let socket = peers.map(UdpSocket::from_std).transpose()?;
+    let mut core =
+        Core::<Question, Answer>::start(&instance, &ways, known, flows, (socket, role), &log).await?;
+    let (passing, clients) = mpsc::unbounded_channel();
+    let (adopt, passed) = mpsc::unbounded_channel();
+    let (passing_servers, idle_servers) = mpsc::unbounded_channel();
+    let (adopt_server, passed_servers) = mpsc::unbounded_channel();
+    let open = Rc::new(Cell::new(0));
+    let links = Links {
+        role: core.role.subscribe(),
+        passing: passing_servers,
+        elsewhere: elsewhere.clone(),
+        open: open.clone(),
+    };
+    let succession = Rc::new(Succession {
+        exchange: core.exchange.clone(),
+        role: core.role.clone(),
+        phase: core.phase.subscribe(),
+        drain: core.drain.clone(),
+        other: core.other.clone(),
+        adopt,
+        adopt_server,
+        elsewhere: elsewhere.clone(),
+        open,
+        deadlines: core.deadlines.clone(),
+        log: log.clone(),
+    });
     let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
     let room = (servers, budget());
     let side = ClientSide::new(
@@ -236,10 +360,11 @@
         site.clone(),
         room,
         core.stats.clone(),
+        links,
         log.clone(),
     );
     let orders = std::mem::replace(&mut core.orders, mpsc::unbounded_channel().1);
-    core.parts.spawn_local(side.run(orders));
+    core.parts.spawn_local(side.run(orders, passed_servers));
     let agent = Way::new(&ways, agent, |ways| Some(ways.discovery));
     let (pauses, seed) = (deadlines.clone(), instance.seed);
     let discovery = Discovery { agent, site: site.clone(), deadlines: pauses, seed, log: log.clone() };
@@ -248,11 +373,26 @@
     let room = Room { connections: flows, turned_away, idle: instance.limits.idle(), budget: budget() };
     let reader = site.clone();
     let read = move |message: &_| platform::read(message, &reader);
-    let (signals, stats) = (core.signals(), core.stats.clone());
+    let (signals, stats) = ((core.signals(), passing), core.stats.clone());
     let bounds = (room, site.max_retry_after);
     let side = ServerSide::new(read, exchange, deadlines, signals, stats, bounds, log.clone());
-    let taking = spawn_local(side.run(listener));
-    core.serve(&instance, taking, stop, log).await
+    let taking = spawn_local(side.run(listener, passed));
+    let path = instance.management.and_then(|_| handover::path(instance.listen, "next"));
+    let ended = std::mem::replace(&mut core.ended, mpsc::unbounded_channel().1);
+    let leaving = Leaving { clients, servers: idle_servers, ended, listener: leaving.0, peers: leaving.1 };
+    let mut role = core.role.subscribe();
+    let taking_over = move || {
+        if let Some(link) = link {
+            spawn_local(succession.clone().take_over(link));
+        }
+        if let Some(path) = path {
+            spawn_local(async move {
+                let _ = role.wait_for(|role| *role == Role::Active).await;
+                succession.give(path, leaving).await
+            });
+        }
+    };
+    core.serve(&instance, taking, taking_over, stop, log).await
 }
 
 /// Runs an instance of the authorisation front on a listener, within a local task set; `ways` says where Consul and
@@ -270,7 +410,11 @@
     let clients = instance.limits.callers();
     let room = (clients, Duration::from_secs_f64(authz.connection_age / 1000.0));
     let flows = clients * CHECKS;
-    let mut core = Core::<Check, Bytes>::start(&instance, &ways, None, flows, &log).await?;
+    let peers = instance.peer_listen.filter(|_| site.settings.peers);
+    let peers = peers.map(|at| bind_peers(&instance, at)).transpose()?;
+    let peers = peers.map(UdpSocket::from_std).transpose()?;
+    let alone = (peers, Role::Active);
+    let mut core = Core::<Check, Bytes>::start(&instance, &ways, None, flows, alone, &log).await?;
     let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
     let side =
         Authorisers::new(exchange.clone(), deadlines.clone(), site.clone(), core.stats.clone(), log.clone());
@@ -291,5 +435,5 @@
             info!(told, "serving ended"; "error" => %e);
         }
     });
-    core.serve(&instance, taking, stop, log).await
+    core.serve(&instance, taking, || {}, stop, log).await
 }
--- a/src/prng.rs
+++ b/src/prng.rs
@@ -1,9 +1,24 @@
 //! A seeded source of random numbers; one a limiter, so that equal events give equal actions.
 
+use serde::{Deserialize, Serialize};
+
 /// Wraps the generator of the `fastrand` crate.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(from = "u64", into = "u64")]
 pub(crate) struct Prng(fastrand::Rng);
 
+impl From<u64> for Prng {
+    fn from(seed: u64) -> Self {
+        Self::new(seed)
+    }
+}
+
+impl From<Prng> for u64 {
+    fn from(at: Prng) -> Self {
+        at.0.get_seed()
+    }
+}
+
 impl Prng {
     /// A generator that starts from `seed`.
     pub(crate) fn new(seed: u64) -> Self {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -259,7 +259,7 @@
         let own = takes[0].min(takes[1] * server.weight()) * warmth * share;
         let all = (own * gateways).max(COLD_LEAST * largest / window.max(0.001));
         let fillers = (all * window / (largest * COLD_TURN)).ceil().clamp(1.0, gateways);
-        if place >= fillers {
+        if place >= fillers || self.retired {
             return false;
         }
         let rate = all / fillers;
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 use crate::prng::Prng;
 use crate::stats::Members;
 use crate::window::{Bucket, Ewma, Fading, Rate, Share};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The timers: for a new subscription, for asks without an answer, and the regular one.
@@ -13,7 +14,7 @@
 pub(crate) const TICK: TimerKey = TimerKey(1);
 
 /// The limiter of one gateway; its decisions are in `src/rules.rs`.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Limiter {
     pub(crate) set: Settings,
     pub(crate) rng: Prng,
@@ -76,6 +77,8 @@
     /// The same of late: more is served of those that are left where many have gone.
     pub(crate) takes_now: [Rate; 2],
     pub(crate) retries: f64,
+    /// Another process decides: what is left here fills no cold server.
+    pub(crate) retired: bool,
 }
 
 impl Limiter {
@@ -125,9 +128,51 @@
             takes: [Rate::default(); 2],
             takes_now: [Rate::default(); 2],
             retries: 0.0,
+            retired: false,
         }
     }
 
+    /// All that it knows, for the limiter of another process; this one goes on with what is out, and no more.
+    pub fn hand_over(&mut self) -> Vec<u8> {
+        let bytes = postcard::to_allocvec(self).unwrap_or_default();
+        self.retired = true;
+        bytes
+    }
+
+    /// The other process is gone: this one decides again.
+    pub fn take_back(&mut self) {
+        self.retired = false;
+    }
+
+    /// Goes on from what another process knew, within the same settings. Tells the attempts that are still out there:
+    /// their ends are to be told as those of requests that are closed.
+    pub fn inherit(&mut self, bytes: &[u8]) -> Result<Vec<(RequestId, AttemptNo, ServerId)>, &'static str> {
+        let mut old: Self = postcard::from_bytes(bytes).map_err(|_| "it cannot be read")?;
+        let shape = |s: &Settings| (s.me, s.gateways, s.classes.len(), s.plans.len());
+        let fits = shape(&old.set) == shape(&self.set) && old.classes.len() == old.set.classes.len();
+        if !fits || old.source != self.source {
+            return Err("it is of other settings");
+        }
+        (old.set, old.retired) = (self.set.clone(), false);
+        // What the other process still waits for is answered there.
+        old.asked.clear();
+        for customer in old.customers.values_mut() {
+            customer.call.held.clear();
+            if customer.call.waiting.take().is_some() {
+                customer.call.total = None;
+            }
+        }
+        old.requests.retain(|_, open| open.attempts.iter().any(|a| a.out));
+        let mut out = Vec::new();
+        for (id, open) in &mut old.requests {
+            open.done = true;
+            let still = (0u16..).zip(&open.attempts).filter(|(_, a)| a.out);
+            out.extend(still.map(|(no, a)| (*id, AttemptNo(no), a.server)));
+        }
+        *self = old;
+        Ok(out)
+    }
+
     /// The part of its full work that a server can do now, at the least.
     pub(crate) fn warmth(&self, now: Millis, server: &Server) -> f64 {
         server.started.map_or(1.0, |at| self.set.cold.warmth(now - at))
@@ -331,14 +376,14 @@
 }
 
 /// What servers have in common.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Scope {
     Zone(ZoneId),
     Kind(KindId),
 }
 
 /// What a zone or a kind of machine takes for a class.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Taken {
     /// Usual times beyond the first.
     times: Fading,
@@ -364,7 +409,7 @@
 }
 
 /// Where a gateway hears of the use at others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Source {
     Peers,
     Counter,
@@ -399,7 +444,7 @@
 }
 
 /// What a home holds of a customer.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Ledger {
     pub(crate) store: Bucket,
     /// Asks.
@@ -412,7 +457,7 @@
 }
 
 /// An ask that waits for its answer.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Asked {
     pub(crate) request: RequestId,
     pub(crate) home: GatewayId,
@@ -421,14 +466,14 @@
 }
 
 /// What a peer said of a customer.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Told {
     pub(crate) drawn: Option<u64>,
     pub(crate) asked: Rate,
     pub(crate) out: f64,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Customer {
     pub(crate) plan: PlanId,
     pub(crate) spread: u16,
@@ -458,7 +503,7 @@
 }
 
 /// A customer's account with the counter.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Call {
     /// Units and attempts out that the next call is to add.
     pub(crate) pending: [f64; 2],
@@ -476,7 +521,7 @@
     pub(crate) others: Option<f64>,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Server {
     pub(crate) entry: ServerEntry,
     pub(crate) started: Option<Millis>,
@@ -500,14 +545,14 @@
     pub(crate) unreachable: Option<[Millis; 2]>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub(crate) server: ServerId,
     pub(crate) sent: Millis,
     pub(crate) out: bool,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Open {
     pub(crate) request: Request,
     pub(crate) deadline: Millis,
@@ -521,13 +566,13 @@
     pub(crate) home: Option<(GatewayId, u64)>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct ClassSeen {
     pub(crate) latency: Ewma,
     pub(crate) units: Ewma,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Peer {
     pub(crate) incarnation: u8,
     pub(crate) heard: Millis,
--- /dev/null
+++ b/src/succession.rs
@@ -0,0 +1,284 @@
+//! One process after the other at the same address: what the old one does when the next one comes, and the next one
+//! until the old one is gone. The frames are those of `handover`; what is decided, the engines decide.
+
+use crate::deadlines::Deadlines;
+use crate::exchange::{Estate, News, Operation};
+use crate::handover::{Frame, LAYOUT, Parcel, Reader, Writer, link, listen};
+use crate::interface::{AttemptEnd, Millis, ServerId};
+use crate::management::Told;
+use crate::net::budget::Elsewhere;
+use crate::net::client_side::{Answer, Question};
+use crate::net::server_side::{Drain, Passing, Phase, Role};
+use bytes::BytesMut;
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::PathBuf;
+use std::rc::Rc;
+use tokio::net::{TcpStream, UnixStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+
+/// The other process does what it is asked by then, or one goes on without it.
+const ANSWER: Millis = 700.0;
+/// The next process asks for all so long after its start at the latest, or it is taken for one that failed.
+const START: Millis = 30_000.0;
+
+type Flows = crate::exchange::Exchange<Question, Answer>;
+
+/// The other process, as long as there is one.
+#[derive(Debug, Clone, Default)]
+pub struct Other(Rc<RefCell<Option<Calls>>>);
+
+#[derive(Debug)]
+struct Calls {
+    out: mpsc::UnboundedSender<Parcel>,
+    next: u64,
+    waiting: BTreeMap<u64, oneshot::Sender<()>>,
+}
+
+impl Other {
+    fn set(&self, out: Option<mpsc::UnboundedSender<Parcel>>) {
+        *self.0.borrow_mut() = out.map(|out| Calls { out, next: 0, waiting: BTreeMap::new() });
+    }
+
+    /// Has the other process carry out an operation, too; resolves once it has, or there is none.
+    pub async fn operate(&self, operation: Operation, deadlines: &Deadlines) {
+        let done = {
+            let mut other = self.0.borrow_mut();
+            let Some(calls) = other.as_mut() else { return };
+            calls.next += 1;
+            let (done, waiting) = oneshot::channel();
+            calls.waiting.insert(calls.next, done);
+            let _ = calls.out.send((Frame::Operate(calls.next, operation), Vec::new()));
+            waiting
+        };
+        deadlines.within(ANSWER, done).await;
+    }
+
+    /// Tells the other process of a drain, or its end.
+    pub fn drain(&self, drained: bool) {
+        if let Some(calls) = self.0.borrow().as_ref() {
+            let _ = calls.out.send((Frame::Drain(drained), Vec::new()));
+        }
+    }
+
+    fn done(&self, number: u64) {
+        let waiting = self.0.borrow_mut().as_mut().and_then(|calls| calls.waiting.remove(&number));
+        waiting.map(|waiting| waiting.send(()));
+    }
+}
+
+/// What passes from one process to the other, and who has to know.
+pub struct Succession {
+    /// The engine.
+    pub exchange: Flows,
+    /// Which of two processes this is.
+    pub role: watch::Sender<Role>,
+    /// How far it is.
+    pub phase: watch::Receiver<Phase>,
+    /// Whether clients are sent away.
+    pub drain: watch::Sender<Drain>,
+    /// The other process.
+    pub other: Other,
+    /// Where clients' connections go that come to this process.
+    pub adopt: mpsc::UnboundedSender<Passing>,
+    /// Where idle connections to real servers go that come to this process.
+    pub adopt_server: mpsc::UnboundedSender<(ServerId, TcpStream)>,
+    /// What another process has still open.
+    pub elsewhere: Elsewhere,
+    /// What is open to real servers here.
+    pub open: Rc<Cell<usize>>,
+    /// The deadlines.
+    pub deadlines: Deadlines,
+    /// Where it is logged.
+    pub log: Logger,
+}
+
+/// What leaves this process for the next one.
+pub struct Leaving {
+    /// Clients' connections.
+    pub clients: mpsc::UnboundedReceiver<Passing>,
+    /// Idle connections to real servers.
+    pub servers: mpsc::UnboundedReceiver<(ServerId, TcpStream)>,
+    /// Attempts that have ended here.
+    pub ended: mpsc::UnboundedReceiver<AttemptEnd>,
+    /// The clients' listener.
+    pub listener: OwnedFd,
+    /// The peers' socket.
+    pub peers: Option<OwnedFd>,
+}
+
+fn stream(descriptor: OwnedFd) -> io::Result<TcpStream> {
+    let stream = std::net::TcpStream::from(descriptor);
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
+fn client(passing: Passing) -> io::Result<Parcel> {
+    let Passing { stream, bytes, flows, age } = passing;
+    let descriptor = OwnedFd::from(stream.into_std()?);
+    Ok((Frame::Client { flows, age, bytes: bytes.to_vec() }, vec![descriptor]))
+}
+
+impl Succession {
+    async fn ask<T>(&self, news: impl FnOnce(oneshot::Sender<T>) -> News<Question, Answer>) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.exchange.tell(news(reply));
+        answer.await.ok()
+    }
+
+    /// Takes over from the process that gave its sockets: what it knows first, then its connections, until it is gone.
+    /// Whatever goes wrong, this process decides from then on.
+    pub async fn take_over(self: Rc<Self>, got: (Reader, Writer)) {
+        let (mut reader, mut writer) = got;
+        let taken = async {
+            writer.write(&(Frame::Take, Vec::new())).await?;
+            reader.next().await
+        };
+        let taken = self.deadlines.within(2.0 * ANSWER, taken).await;
+        let Some(Ok(Some((Frame::State { estate, drained, servers }, _)))) = taken else {
+            warn!(self.log, "the old process handed nothing over");
+            self.role.send_replace(Role::Active);
+            return;
+        };
+        self.elsewhere.set(servers.max(1));
+        self.ask(|reply| News::Inherit(estate, reply)).await;
+        if drained {
+            self.drain.send_replace(Drain::Closing);
+        }
+        self.role.send_replace(Role::Active);
+        let (out, mut parcels) = mpsc::unbounded_channel();
+        self.other.set(Some(out.clone()));
+        spawn_local(async move {
+            while let Some(parcel) = parcels.recv().await {
+                if writer.write(&parcel).await.is_err() {
+                    return;
+                }
+            }
+        });
+        while let Ok(Some((frame, descriptors))) = reader.next().await {
+            self.take_in(frame, descriptors, &out).await;
+        }
+        self.other.set(None);
+        self.elsewhere.set(0);
+        self.exchange.tell(News::Orphaned);
+        info!(self.log, "the old process is gone");
+    }
+
+    /// What the other process says that is no step of the handover.
+    async fn take_in(&self, frame: Frame, descriptors: Vec<OwnedFd>, out: &mpsc::UnboundedSender<Parcel>) {
+        let came = descriptors.into_iter().next().and_then(|descriptor| stream(descriptor).ok());
+        match (frame, came) {
+            (Frame::Client { flows, age, bytes }, Some(stream)) => {
+                let _ = self.adopt.send(Passing { stream, bytes: BytesMut::from(&bytes[..]), flows, age });
+            }
+            (Frame::Server(server), Some(stream)) => {
+                let _ = self.adopt_server.send((server, stream));
+            }
+            (Frame::Ended(end), _) => self.exchange.tell(News::EndedElsewhere(end)),
+            (Frame::Operate(number, operation), _) => {
+                let _: Option<Told> = self.ask(|reply| News::Operate(operation, reply)).await;
+                let _ = out.send((Frame::Done(number), Vec::new()));
+            }
+            (Frame::Done(number), _) => self.other.done(number),
+            (Frame::Drain(drained), _) => {
+                self.drain.send_replace(if drained { Drain::Announced } else { Drain::No });
+            }
+            _ => {}
+        }
+    }
+
+    /// Waits for the next process, for ever, and gives it all.
+    pub async fn give(self: Rc<Self>, path: PathBuf, mut leaving: Leaving) {
+        let listener = match listen(&path) {
+            Ok(listener) => listener,
+            Err(e) => {
+                warn!(self.log, "the next process will get no sockets"; "error" => %e);
+                return std::future::pending().await;
+            }
+        };
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    if let Err(e) = self.hand_over(stream, &mut leaving).await {
+                        info!(self.log, "the next process is gone"; "why" => %e);
+                    }
+                    self.other.set(None);
+                    if *self.role.borrow() == Role::Gone && *self.phase.borrow() == Phase::Serving {
+                        warn!(self.log, "serving again");
+                        self.exchange.tell(News::TakeBack);
+                        self.role.send_replace(Role::Active);
+                    }
+                }
+                Err(_) => self.deadlines.sleep(50.0).await,
+            }
+            // What was on its way when the other process went stays here.
+            while let Ok(passing) = leaving.clients.try_recv() {
+                let _ = self.adopt.send(passing);
+            }
+            while leaving.servers.try_recv().is_ok() || leaving.ended.try_recv().is_ok() {}
+        }
+    }
+
+    async fn hand_over(&self, stream: UnixStream, leaving: &mut Leaving) -> io::Result<()> {
+        let (mut reader, mut writer) = link(stream);
+        let hello = self.deadlines.within(ANSWER, reader.next()).await;
+        if !matches!(hello, Some(Ok(Some((Frame::Hello(LAYOUT), _))))) {
+            return Err(io::Error::other("it reads another layout"));
+        }
+        if *self.phase.borrow() != Phase::Serving {
+            return Err(io::Error::other("this process is about to end"));
+        }
+        let copy = |descriptor: &OwnedFd| descriptor.as_fd().try_clone_to_owned();
+        let mut sockets = vec![copy(&leaving.listener)?];
+        if let Some(peers) = &leaving.peers {
+            sockets.push(copy(peers)?);
+        }
+        writer.write(&(Frame::Sockets { peers: leaving.peers.is_some() }, sockets)).await?;
+        match self.deadlines.within(START, reader.next()).await {
+            Some(Ok(Some((Frame::Take, _)))) => {}
+            Some(Err(e)) => return Err(e),
+            _ => return Err(io::Error::other("it did not start")),
+        }
+        info!(self.log, "another process takes over");
+        self.role.send_replace(Role::Gone);
+        let estate: Estate = self.ask(News::HandOver).await.unwrap_or_default();
+        let (drained, servers) = (*self.drain.borrow() != Drain::No, self.open.get());
+        writer.write(&(Frame::State { estate, drained, servers }, Vec::new())).await?;
+        let (out, mut parcels) = mpsc::unbounded_channel();
+        self.other.set(Some(out.clone()));
+        loop {
+            let parcel = tokio::select! {
+                biased;
+                read = reader.next() => match read? {
+                    Some((frame, descriptors)) => {
+                        self.take_in(frame, descriptors, &out).await;
+                        continue;
+                    }
+                    None => return Err(io::Error::other("it ended")),
+                },
+                Some(parcel) = parcels.recv() => parcel,
+                Some(end) = leaving.ended.recv() => (Frame::Ended(end), Vec::new()),
+                Some((server, stream)) = leaving.servers.recv() => {
+                    (Frame::Server(server), vec![OwnedFd::from(stream.into_std()?)])
+                }
+                Some(passing) = leaving.clients.recv() => client(passing)?,
+            };
+            if let Err(e) = writer.write(&parcel).await {
+                self.keep(parcel);
+                return Err(e);
+            }
+        }
+    }
+
+    /// A client's connection that could not pass on is served here.
+    fn keep(&self, (frame, descriptors): Parcel) {
+        let came = descriptors.into_iter().next().and_then(|descriptor| stream(descriptor).ok());
+        if let (Frame::Client { flows, age, bytes }, Some(stream)) = (frame, came) {
+            let _ = self.adopt.send(Passing { stream, bytes: BytesMut::from(&bytes[..]), flows, age });
+        }
+    }
+}
--- a/src/window.rs
+++ b/src/window.rs
@@ -1,9 +1,10 @@
 //! Statistics over time: plain mechanism, without a default or a tuned value.
 
 use crate::interface::Millis;
+use serde::{Deserialize, Serialize};
 
 /// A level that fills at a rate up to a bound, as a token bucket does.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Bucket {
     /// What it holds now.
     pub(crate) level: f64,
@@ -38,7 +39,7 @@
 }
 
 /// An exponentially weighted moving average; the first sample sets it.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Ewma(Option<f64>);
 
 impl Ewma {
@@ -54,7 +55,7 @@
 }
 
 /// A share that fades to nothing while nothing is seen.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Fading {
     value: f64,
     at: Millis,
@@ -74,7 +75,7 @@
 }
 
 /// The part of the samples that were good, older ones counting exponentially less.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Share {
     good: Rate,
     all: Rate,
@@ -94,7 +95,7 @@
 }
 
 /// Amounts a second, older ones counting exponentially less.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Rate {
     sum: f64,
     at: Millis,
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -4,6 +4,7 @@
 
 use bytes::BytesMut;
 use serde_json::json;
+use stand_ins::door::*;
 use stand_ins::ingress::*;
 use stand_ins::*;
 use std::collections::BTreeMap;
@@ -22,28 +23,6 @@
     (start(&told).await, door, agent)
 }
 
-async fn answer_of(mut stream: TcpStream) -> String {
-    let mut text = String::new();
-    stream.read_to_string(&mut text).await.unwrap();
-    text
-}
-
-async fn call(door: SocketAddr, line: &str) -> String {
-    let mut stream = TcpStream::connect(door).await.unwrap();
-    stream.write_all(line.as_bytes()).await.unwrap();
-    answer_of(stream).await
-}
-
-async fn figures(door: SocketAddr) -> BTreeMap<String, u64> {
-    let text = call(door, "show-stat\n").await;
-    let figures = text.strip_suffix("eof\n").expect("the figures end with eof");
-    figures
-        .lines()
-        .map(|line| line.rsplit_once(' ').unwrap())
-        .map(|(k, v)| (k.into(), v.parse().unwrap()))
-        .collect()
-}
-
 #[test]
 fn a_call_may_be_cut_anywhere_and_whoever_says_nothing_is_in_nobodys_way() {
     local(async {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -2,7 +2,9 @@
 //! counter, discovery and real servers. All listen on loopback, at ports of the system's choice.
 #![allow(dead_code)]
 
+pub mod door;
 pub mod ingress;
+pub mod program;
 
 use bytes::{Bytes, BytesMut};
 use hyper::server::conn::http2;
--- /dev/null
+++ b/tests/stand_ins/program.rs
@@ -0,0 +1,70 @@
+//! The program itself, started for a test.
+
+use super::*;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use tokio::sync::mpsc;
+
+/// The program, its configuration and the lines of its log.
+pub struct Program {
+    pub child: Child,
+    file: PathBuf,
+    log: mpsc::UnboundedReceiver<String>,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+impl Program {
+    /// Starts it with this text as its file, and the environment of the platform or of the other front.
+    pub fn start(name: &str, text: &str, env: &[(&str, String)], authz: bool) -> Self {
+        let file = std::env::temp_dir().join(format!("weldhub-{}-{name}", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_weldhub"));
+        if authz {
+            command.arg("--ext-authz").arg(&file);
+        }
+        command.env("RELAY_CONFIG", &file).envs(env.iter().cloned()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let (lines, log) = mpsc::unbounded_channel();
+        let text = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || text.lines().map_while(Result::ok).try_for_each(|line| lines.send(line)));
+        Self { child, file, log }
+    }
+
+    /// Waits for a line of the log that says this.
+    pub async fn says(&mut self, what: &str) -> String {
+        loop {
+            let line = self.log.recv().await.unwrap_or_else(|| panic!("it ended without saying {what}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub async fn serving(&mut self) -> SocketAddr {
+        let line = self.says("serving").await;
+        line.split("listen: ").nth(1).unwrap().split(',').next().unwrap().trim().parse().unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    pub fn reread(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("HUP");
+    }
+
+    pub async fn end(&mut self) -> ExitStatus {
+        while self.log.recv().await.is_some() {}
+        self.child.wait().unwrap()
+    }
+}
