--- a/src/engine.rs
+++ b/src/engine.rs
@@ -49,6 +49,8 @@
     no: AttemptNo,
     server: ServerId,
     sent: Millis,
+    /// When its answer began to pass on.
+    began: Option<Millis>,
     deadline: Key,
 }
 
@@ -57,6 +59,8 @@
     question: Q,
     /// Whom to answer; gone once it is over.
     client: Option<oneshot::Sender<Verdict<A>>>,
+    /// How long the client waits once its body has come; none where it has.
+    uploads: Option<Millis>,
     /// When the last scheduling ends.
     until: Millis,
     guard: Key,
@@ -65,6 +69,14 @@
     timed_out: bool,
 }
 
+/// The longest time that a flow's body may take; the server side ends those that stall long before.
+const UPLOAD: Millis = 3_600_000.0;
+
+/// When a flow's schedulings end, and when the flow does, if a client waits for so long.
+fn parts(left: Millis) -> [Millis; 2] {
+    [SLACK, GUARD].map(|slack| left - slack.min(left * SLACK_PART))
+}
+
 /// So often the log tells what became of the flows.
 const TALLY: Millis = 10_000.0;
 
@@ -185,12 +197,13 @@
                 if self.flows.len() >= self.bounds.flows {
                     return self.answer(client, Verdict::NoRoom(self.bounds.retry_after));
                 }
-                let part = |slack: Millis| terms.left - slack.min(terms.left * SLACK_PART);
-                let left = part(SLACK);
-                let guard = self.deadlines.add(self.now + part(GUARD), Due::Flow(id));
+                let uploads = terms.uploads.then_some(terms.left);
+                let [left, last] = parts(if terms.uploads { UPLOAD } else { terms.left });
+                let guard = self.deadlines.add(self.now + last, Due::Flow(id));
                 let (client, until) = (Some(client), self.now + left);
-                let (out, timed_out) = (Vec::new(), false);
-                self.flows.insert(id, Flow { question, client, until, guard, started: 0, out, timed_out });
+                let (out, started, timed_out) = (Vec::new(), 0, false);
+                let flow = Flow { question, client, uploads, until, guard, started, out, timed_out };
+                self.flows.insert(id, flow);
                 self.feed(Event::Request(Request {
                     id,
                     class: terms.class,
@@ -210,6 +223,8 @@
                     self.feed(Event::ClientLeft(id));
                 }
             }
+            News::Uploaded(id) => self.uploaded(id),
+            News::Began(id, no, answer) => self.began((id, no), answer),
             News::Ended(report) => self.ended(report),
             News::Listed(list) => {
                 self.told = true;
@@ -363,6 +378,32 @@
         Some(client)
     }
 
+    /// A flow's body has come: its time runs from now on.
+    fn uploaded(&mut self, id: RequestId) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some([left, last]) = flow.uploads.take().map(parts) else { return };
+        self.deadlines.remove(flow.guard);
+        flow.guard = self.deadlines.add(self.now + last, Due::Flow(id));
+        flow.until = self.now + left;
+        for s in &mut flow.out {
+            self.deadlines.remove(s.deadline);
+            s.deadline = self.deadlines.add(flow.until, Due::Scheduling(id, s.no));
+            s.sent = self.now;
+        }
+    }
+
+    /// A scheduling's answer passes on: the client has it, and no time is set for its end.
+    fn began(&mut self, (id, no): (RequestId, AttemptNo), answer: A) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some(s) = flow.out.iter_mut().find(|s| s.no == no) else { return };
+        self.deadlines.remove(s.deadline);
+        s.began = Some(self.now);
+        if let Some(client) = self.close(id) {
+            self.answer(client, Verdict::Served(answer));
+        }
+        self.feed(Event::StreamStarted(id, no));
+    }
+
     fn ended(&mut self, report: Report<A>) {
         let Report { flow: id, no, mut outcome, load, answer } = report;
         let Some(flow) = self.flows.get_mut(&id) else { return };
@@ -376,11 +417,11 @@
                     self.answer(client, Verdict::Served(answer));
                 }
             }
-            None if outcome == Outcome::Served => outcome = Outcome::Error,
+            None if outcome == Outcome::Served && ended.began.is_none() => outcome = Outcome::Error,
             _ => {}
         }
         let closed = self.flows.get(&id).is_none_or(|flow| flow.client.is_none());
-        let spent = self.now - ended.sent;
+        let spent = ended.began.unwrap_or(self.now) - ended.sent;
         let end = attempt_ended((id, no), ended.server, (outcome, spent), closed, load);
         if let (true, Event::AttemptEnded(end)) = (self.retired, &end) {
             let _ = self.outlets.successor.send(*end);
@@ -443,7 +484,9 @@
         };
         let no = AttemptNo(flow.started);
         flow.started += 1;
-        let wait = wait.unwrap_or(f64::INFINITY).min(flow.until - self.now);
+        // Patience is for answers: while a body still comes, nothing is late.
+        let wait = wait.filter(|_| flow.uploads.is_none()).unwrap_or(f64::INFINITY);
+        let wait = wait.min(flow.until - self.now);
         if flow.client.is_none() || no.0 >= self.bounds.schedulings || wait <= 0.0 {
             let (closed, load) = (flow.client.is_none(), Load::default());
             self.own.push_back(attempt_ended((id, no), server, (Outcome::Moot, 0.0), closed, load));
@@ -452,8 +495,13 @@
         self.tally.schedulings += 1;
         self.tally.retried += u64::from(no.0 > 0);
         let deadline = self.deadlines.add(self.now + wait, Due::Scheduling(id, no));
-        flow.out.push(Scheduling { no, server, sent: self.now, deadline });
+        flow.out.push(Scheduling { no, server, sent: self.now, began: None, deadline });
         let question = flow.question.clone();
+        let wait = flow.uploads.unwrap_or(wait);
+        if flow.uploads.is_some() {
+            // The real server has no work with it until its body has come.
+            self.own.push_back(Event::StreamStarted(id, no));
+        }
         self.order(Order::Start { flow: id, no, server, question, wait });
     }
 }
@@ -539,8 +587,10 @@
         fn ask(&self, left: Millis, units: f64) -> Waiting<(), u32> {
             let (class, plan, customer) = (ClassId(0), PlanId(0), CustomerId(5));
             let first = GatewayId(0);
-            self.exchange
-                .arrive(Terms { class, plan, customer, left, units, spread: 2, first, repeat: false }, ())
+            self.exchange.arrive(
+                Terms { class, plan, customer, left, units, spread: 2, first, repeat: false, uploads: false },
+                (),
+            )
         }
 
         /// The next order that is no list.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -31,6 +31,8 @@
     pub first: GatewayId,
     /// The client says that it has asked for this before.
     pub repeat: bool,
+    /// Its body still comes: `left` runs from that one's last byte, and it can be sent once only.
+    pub uploads: bool,
 }
 
 /// The final answer of a flow.
@@ -82,6 +84,10 @@
     Arrived(RequestId, Terms, Q, oneshot::Sender<Verdict<A>>),
     /// Its client has left.
     Left(RequestId),
+    /// The last byte of a flow's body has come.
+    Uploaded(RequestId),
+    /// A scheduling's answer has begun to pass on: it is the flow's, however it ends.
+    Began(RequestId, AttemptNo, A),
     /// A scheduling has ended.
     Ended(Report<A>),
     /// Service entries.
@@ -218,6 +224,13 @@
     over: bool,
 }
 
+impl<Q, A> Waiting<Q, A> {
+    /// The last byte of the flow's body has come.
+    pub fn uploaded(&self) {
+        self.exchange.tell(News::Uploaded(self.flow));
+    }
+}
+
 impl<Q, A> Future for Waiting<Q, A> {
     type Output = Verdict<A>;
 
--- a/src/fronts/ext_authz/mod.rs
+++ b/src/fronts/ext_authz/mod.rs
@@ -81,6 +81,7 @@
             spread,
             first: GatewayId(first),
             repeat: false,
+            uploads: false,
         })
     }
 
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -4,7 +4,7 @@
 use crate::exchange::Terms;
 use crate::interface::*;
 use crate::net::client_side::Question;
-use crate::net::http::Message;
+use crate::net::http::Head;
 use crate::net::server_side::Asked;
 use bytes::{BufMut, Bytes, BytesMut};
 
@@ -13,9 +13,10 @@
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
-/// Makes a flow of a request, or says what is wrong with it; nothing wrong ever reaches a real server.
-pub fn read(message: &Message, site: &Site) -> Asked {
-    match flow(message, site) {
+/// Makes a flow of a request, or says what is wrong with it; nothing wrong ever reaches a real server. Its body is
+/// `body`, and where that is not the whole of it, more will come.
+pub fn read(head: &Head, body: Bytes, whole: bool, site: &Site) -> Asked {
+    match flow(head, body, whole, site) {
         Ok(asked) => asked,
         Err((status, text)) => Asked::Wrong(status, text),
     }
@@ -23,8 +24,7 @@
 
 type Wrong = (u16, &'static str);
 
-fn flow(message: &Message, site: &Site) -> Result<Asked, Wrong> {
-    let head = &message.head;
+fn flow(head: &Head, body: Bytes, whole: bool, site: &Site) -> Result<Asked, Wrong> {
     let (method, target) = head.request_line();
     let bad = |text: &'static str| move || (400, text);
     // Prevents a real server, which closes on what it cannot read, from being sent bytes that no target holds.
@@ -32,7 +32,10 @@
     let text = std::str::from_utf8(target).ok().filter(|_| plain).ok_or((400, "the target is no target"))?;
     let (path, query) = text.split_once('?').unwrap_or((text, ""));
     if path == "/ready" {
-        return if method == b"GET" { Ok(Asked::Ready) } else { Err((405, "/ready takes GET")) };
+        return match method {
+            b"GET" | b"HEAD" => Ok(Asked::Ready),
+            _ => Err((405, "/ready takes GET")),
+        };
     }
     let name = path.strip_prefix('/').and_then(|rest| rest.split('/').next()).unwrap_or_default();
     let class = site.classes.iter().position(|class| class.name == name);
@@ -40,10 +43,11 @@
     let info = &site.classes[class];
     let keyed = info.keyed;
     let safe = site.settings.classes[class].effect == Effect::Safe;
-    if method != if safe { b"GET".as_slice() } else { b"POST".as_slice() } {
+    let bodiless = safe && method == b"HEAD";
+    if !bodiless && method != if safe { b"GET".as_slice() } else { b"POST".as_slice() } {
         return Err((405, "the class takes the other method"));
     }
-    if safe && !message.body.is_empty() {
+    if safe && !(whole && body.is_empty()) {
         return Err((400, "a class that is safe to repeat takes no body"));
     }
     let only = |name: &'static str, wrong: &'static str| head.only(name).map_err(|_| (400, wrong));
@@ -56,7 +60,7 @@
     let plan = only("x-tier", "X-Tier stands twice")?.and_then(|v| std::str::from_utf8(v).ok());
     let plan = plan.and_then(|name| site.plans.get(name)).ok_or_else(bad("X-Tier names no plan"))?;
     let left = only("request-timeout-ms", "Request-Timeout-Ms stands twice")?;
-    let left = left.and_then(whole).filter(|left| *left > 0);
+    let left = left.and_then(number).filter(|left| *left > 0);
     let left = left.ok_or_else(bad("Request-Timeout-Ms is no whole number above 0"))?;
     let terms = only("x-call-terms", "X-Call-Terms stands twice")?.and_then(|v| read_terms(v, site));
     let (units, spread, first) = terms.ok_or_else(bad("X-Call-Terms cannot be read"))?;
@@ -70,8 +74,8 @@
         spread,
         first: GatewayId(first),
         repeat: head.get("client-retry") == Some(b"1"),
+        uploads: !whole,
     };
-    let length = message.body.len();
     let mut passed = BytesMut::with_capacity(target.len() + id.len() + key.map_or(0, <[u8]>::len) + 128);
     [method, b" ", target, b" HTTP/1.1\r\nRequest-Id: "]
         .into_iter()
@@ -81,16 +85,23 @@
     if let Some(key) = key {
         [b"Idempotency-Key: ", key, b"\r\n"].into_iter().for_each(|part: &[u8]| passed.put_slice(part));
     }
-    let text = |kind: &&[u8]| length > 0 && kind.iter().all(|b| matches!(b, b' '..=b'~'));
+    let text = |kind: &&[u8]| !(whole && body.is_empty()) && kind.iter().all(|b| matches!(b, b' '..=b'~'));
     if let Some(kind) = head.get("content-type").filter(text) {
         [b"Content-Type: ", kind, b"\r\n"].into_iter().for_each(|part: &[u8]| passed.put_slice(part));
     }
     if !safe {
-        passed.put_slice(format!("Content-Length: {length}\r\n").as_bytes());
+        match head.length().or(whole.then_some(body.len())) {
+            Some(length) => passed.put_slice(format!("Content-Length: {length}\r\n").as_bytes()),
+            None => passed.put_slice(b"Transfer-Encoding: chunked\r\n"),
+        }
     }
     let passed = passed.freeze();
     let id = passed.slice(at);
-    Ok(Asked::Flow(terms, Question { head: passed, body: Bytes::clone(&message.body) }, id))
+    Ok(Asked::Flow(
+        terms,
+        Question { head: passed, body, bodiless, chunked: head.length().is_none(), rest: None },
+        id,
+    ))
 }
 
 /// Whether a value can be passed on as an id or a key.
@@ -98,7 +109,7 @@
     (1..=NAME).contains(&value.len()) && value.iter().all(u8::is_ascii_graphic)
 }
 
-fn whole(value: &[u8]) -> Option<u32> {
+fn number(value: &[u8]) -> Option<u32> {
     let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
     std::str::from_utf8(value).ok().filter(|_| digits)?.parse().ok()
 }
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -2,8 +2,9 @@
 //! reports how each ended, once. Nothing is ever sent a second time here.
 
 use super::budget::{Budget, Elsewhere};
-use super::http::{Bad, Head, Kind, MESSAGE, Message, take_message};
-use super::schedulings::{Ending, Job, Pool, Schedulings, Stage};
+use super::http::{BODY, Bad, Body, Head, Kind, MESSAGE, peek_head};
+use super::pieces::{self, Once, PIECE, Piece, Pieces};
+use super::schedulings::{Ending, Id, Job, Pool, Schedulings, Stage};
 use super::server_side::Role;
 use super::stream::{connect, read_more};
 use crate::config::Site;
@@ -11,7 +12,7 @@
 use crate::exchange::{Exchange, Order};
 use crate::interface::*;
 use crate::stats::Stats;
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use slog::{Logger, debug};
 use socket2::SockRef;
 use std::cell::Cell;
@@ -21,30 +22,44 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 
 /// An idle connection is closed after this part of the time after which a real server may close it.
 const IDLE_PART: f64 = 0.8;
+/// An answer whose length is not told is taken whole if it comes within this, or else passes on as it comes.
+const PATIENCE: Millis = 150.0;
+/// An answer that passes on and brings nothing for so long has broken off.
+const SILENT: Millis = 15_000.0;
 
 /// What is asked of a real server: the head up to its last fields, and the body.
 #[derive(Debug, Clone)]
 pub struct Question {
     /// Request line and the fields that pass on, each line with its end.
     pub head: Bytes,
-    /// The body.
+    /// The body, or what has come of it.
     pub body: Bytes,
+    /// The answer has no body, whatever its head says: it is to HEAD.
+    pub bodiless: bool,
+    /// Its rest has no length told ahead: it goes on in chunks.
+    pub chunked: bool,
+    /// What is still to come of the body.
+    pub rest: Option<Once>,
 }
 
 /// A real server's answer.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Answer {
-    /// Its body, as it came.
+    /// Its body, as it came, or the first of it.
     pub body: Bytes,
     /// What the body is.
     pub content_type: Option<Bytes>,
+    /// How long the body is, where that is told.
+    pub length: Option<usize>,
+    /// What is still to come of the body.
+    pub rest: Option<Pieces>,
 }
 
 type Flows = Exchange<Question, Answer>;
@@ -183,6 +198,9 @@
     }
 }
 
+/// A job as a connection carries it: which, what to ask, how long the engine waits, and how far it has come.
+type Carried<'a> = (Id, &'a Question, Millis, &'a Cell<Stage>);
+
 /// How a job went on a connection, and whether that can carry another.
 type Went = (Ending<Answer>, bool);
 
@@ -223,10 +241,11 @@
     loop {
         then = match then {
             Then::Carry(mut job) => {
+                let carried = (job.id, &job.question, job.wait, &*job.stage);
                 let (ending, reusable) = tokio::select! {
                     biased;
                     _ = &mut job.given_up => return,
-                    went = side.carry(&mut stream, &mut buffer, at, (&job.question, job.wait, &job.stage)) => went,
+                    went = side.carry(&mut stream, &mut buffer, at, &carried) => went,
                 };
                 let next = if reusable { side.park(server, at) } else { None };
                 side.schedulings.ended(job.id, ending);
@@ -286,58 +305,239 @@
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         at: SocketAddr,
-        (question, wait, stage): (&Question, Millis, &Cell<Stage>),
+        job: &Carried<'_>,
     ) -> Went {
+        let mut early = false;
+        match self.ask(stream, buffer, at, job).await {
+            Ok(Asked::Whole) => {}
+            Ok(Asked::Early) => early = true,
+            Err(outcome) => return badly(outcome),
+        }
+        let (ending, reusable) = self.hear(stream, buffer, job).await;
+        if early && ending.outcome == Outcome::Served {
+            // Nobody can have made it for a request that had not come.
+            return badly(Outcome::Error);
+        }
+        (ending, reusable && !early)
+    }
+
+    /// Writes a question, to its last byte unless it is answered before.
+    async fn ask(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        at: SocketAddr,
+        (_, question, wait, stage): &Carried<'_>,
+    ) -> Result<Asked, Outcome> {
+        let rest = match &question.rest {
+            // What has gone once is not kept.
+            Some(once) => Some(once.take().ok_or(Outcome::Moot)?),
+            None => None,
+        };
         let wait = wait.max(1.0) as u64;
-        let rest = format!("Host: {at}\r\nRequest-Timeout-Ms: {wait}\r\n\r\n");
-        let mut bytes = BytesMut::with_capacity(question.head.len() + rest.len() + question.body.len());
+        let fields = format!("Host: {at}\r\nRequest-Timeout-Ms: {wait}\r\n\r\n");
+        let chunked = rest.is_some() && question.chunked;
+        let mut bytes =
+            BytesMut::with_capacity(question.head.len() + fields.len() + question.body.len() + 16);
         bytes.extend_from_slice(&question.head);
-        bytes.extend_from_slice(rest.as_bytes());
-        bytes.extend_from_slice(&question.body);
+        bytes.extend_from_slice(fields.as_bytes());
+        frame(&mut bytes, &question.body, chunked);
         stage.set(Stage::Writing);
-        if stream.write_all(&bytes).await.is_err() {
-            return badly(Outcome::ConnectFailed);
-        }
+        let written = stream.write_all(&bytes).await;
         drop(bytes);
+        written.map_err(|_| Outcome::ConnectFailed)?;
+        if let Some(mut rest) = rest {
+            loop {
+                let piece = tokio::select! {
+                    biased;
+                    piece = rest.recv() => piece,
+                    more = read_more(stream, buffer) => match more {
+                        Ok(true) => return Ok(Asked::Early),
+                        _ => return Err(Outcome::ConnectFailed),
+                    },
+                };
+                let mut bytes = BytesMut::new();
+                let last = match &piece {
+                    Some(Piece::Data(data)) => {
+                        frame(&mut bytes, data, chunked);
+                        false
+                    }
+                    Some(Piece::End) => {
+                        bytes.extend_from_slice(if chunked { b"0\r\n\r\n" } else { b"" });
+                        true
+                    }
+                    // Its client has broken off.
+                    None => return Err(Outcome::ConnectFailed),
+                };
+                stream.write_all(&bytes).await.map_err(|_| Outcome::ConnectFailed)?;
+                if last {
+                    break;
+                }
+            }
+        }
         stage.set(Stage::Written);
         self.stats.written();
-        let (mut held, mut read) = (self.budget.hold(), 0);
-        loop {
-            let before = buffer.len();
-            let ended = match read_more(stream, buffer).await {
-                Ok(more) => !more,
-                Err(_) => return badly(Outcome::Reset),
-            };
-            read += buffer.len() - before;
-            match take_message(buffer, Kind::Response, ended) {
-                Ok(Some(message)) => return judge(message, buffer.is_empty(), &self.site),
-                Ok(None) if ended => return badly(Outcome::Reset),
-                // Prevents answers that go on for ever, if only ahead of themselves, from taking time or memory.
-                Ok(None) if read <= MESSAGE && held.grow(buffer.len()) => {}
-                // Garbage, or more than fits: it may have run.
+        Ok(Asked::Whole)
+    }
+
+    /// Reads an answer: a short one whole, of a long one the first pieces go on while the others come.
+    async fn hear(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        (id, question, ..): &Carried<'_>,
+    ) -> Went {
+        let (mut held, mut ahead) = (self.budget.hold(), 0);
+        let head = loop {
+            match peek_head(buffer, Kind::Response) {
+                // What a server says ahead of its answer is no answer; 101 would leave HTTP, which nobody asked for.
+                Ok(Some((head, length))) if matches!(head.status(), 100 | 102..200) => {
+                    drop(buffer.split_to(length));
+                    ahead += length;
+                    continue;
+                }
+                Ok(Some((head, length))) => {
+                    drop(buffer.split_to(length));
+                    break head;
+                }
+                // Prevents what goes on for ever ahead of an answer from taking time or memory.
+                Ok(None) if ahead <= MESSAGE => {}
+                // Garbage: it may have run.
                 Ok(None) | Err(Bad::Malformed | Bad::BodyTooLarge | Bad::HeadTooLarge) => {
                     return badly(Outcome::Error);
                 }
             }
+            match read_more(stream, buffer).await {
+                Ok(true) => {}
+                _ => return badly(Outcome::Reset),
+            }
+        };
+        let mut body = if question.bodiless { Body::none() } else { Body::of(&head) };
+        let (mut taken, long) = (BytesMut::new(), head.length().is_some_and(|length| length > BODY));
+        let mut patience = std::pin::pin!(self.deadlines.sleep(PATIENCE));
+        let mut waited = false;
+        loop {
+            match body.take(buffer, BODY) {
+                Ok(Some(data)) => {
+                    taken.extend_from_slice(&data);
+                    if taken.len() <= BODY && !long {
+                        continue;
+                    }
+                }
+                Ok(None) if body.done() => {
+                    return judge(&head, taken.freeze(), buffer.is_empty(), &self.site);
+                }
+                Ok(None) => {}
+                Err(_) => return badly(Outcome::Error),
+            }
+            let some = !taken.is_empty() && (long || taken.len() > BODY || waited && head.length().is_none());
+            if some || !held.grow(taken.len() + buffer.len()) {
+                if head.status() != 200 {
+                    return badly(Outcome::Error);
+                }
+                drop(held);
+                let went = (body, taken.freeze());
+                return self.pass_on(stream, buffer, *id, &head, went).await;
+            }
+            let more = tokio::select! {
+                more = read_more(stream, buffer) => more,
+                () = &mut patience, if !waited => {
+                    waited = true;
+                    continue;
+                }
+            };
+            match more {
+                Ok(true) => {}
+                Ok(false) if body.ended() => {}
+                _ => return badly(Outcome::Reset),
+            }
         }
     }
+
+    /// Passes an answer on in pieces, as fast as its client takes them.
+    async fn pass_on(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        id: Id,
+        head: &Head,
+        (mut body, first): (Body, Bytes),
+    ) -> Went {
+        let (pieces, rest) = pieces::way();
+        let load = load(head, &self.site.load_names);
+        let answer =
+            Answer { body: first, content_type: kind(head), length: head.length(), rest: Some(rest) };
+        if !self.schedulings.began(id, answer) {
+            return badly(Outcome::Cancelled);
+        }
+        let end = |outcome| Ending { outcome, load, answer: None };
+        loop {
+            match body.take(buffer, PIECE) {
+                Ok(Some(data)) => {
+                    if pieces.send(Piece::Data(data)).await.is_err() {
+                        return (end(Outcome::Cancelled), false);
+                    }
+                    continue;
+                }
+                Ok(None) if body.done() => {
+                    let _ = pieces.send(Piece::End).await;
+                    return (end(Outcome::Served), !head.close && buffer.is_empty());
+                }
+                Ok(None) => {}
+                Err(_) => return (end(Outcome::Error), false),
+            }
+            buffer.reserve(PIECE);
+            let mut room = (&mut *buffer).limit(PIECE);
+            let read = tokio::select! {
+                read = self.deadlines.within(SILENT, stream.read_buf(&mut room)) => read,
+                () = pieces.closed() => return (end(Outcome::Cancelled), false),
+            };
+            match read {
+                Some(Ok(n)) if n > 0 => {}
+                Some(Ok(_)) if body.ended() => {}
+                _ => return (end(Outcome::Reset), false),
+            }
+        }
+    }
+}
+
+/// How far a question was written.
+enum Asked {
+    /// To its last byte.
+    Whole,
+    /// Not so far: something was answered before.
+    Early,
+}
+
+/// Appends data, as a chunk of its own where the body comes in such.
+fn frame(bytes: &mut BytesMut, data: &[u8], chunked: bool) {
+    if !chunked {
+        return bytes.extend_from_slice(data);
+    }
+    if !data.is_empty() {
+        bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        bytes.extend_from_slice(data);
+        bytes.extend_from_slice(b"\r\n");
+    }
+}
+
+fn kind(head: &Head) -> Option<Bytes> {
+    head.get("content-type").map(Bytes::copy_from_slice)
 }
 
-fn judge(message: Message, nothing_left: bool, site: &Site) -> Went {
-    let head = &message.head;
+fn judge(head: &Head, body: Bytes, nothing_left: bool, site: &Site) -> Went {
     let never_ran = head.get("not-started").is_some_and(|value| value.trim_ascii() == b"1");
     let outcome = match head.status() {
         200 => Outcome::Served,
         503 | 504 if never_ran => Outcome::Full,
         _ => Outcome::Error,
     };
-    let content_type = head.get("content-type").map(Bytes::copy_from_slice);
     let load = load(head, &site.load_names);
     // A status that no real server has to give is garbage: nobody knows what follows it.
     let known = matches!(head.status(), 200 | 500 | 503 | 504);
     let reusable = !head.close && nothing_left && known;
-    let answer = (outcome == Outcome::Served).then_some(Answer { body: message.body, content_type });
-    (Ending { outcome, load, answer }, reusable)
+    let answer = Answer { body, content_type: kind(head), length: head.length(), rest: None };
+    (Ending { outcome, load, answer: (outcome == Outcome::Served).then_some(answer) }, reusable)
 }
 
 /// The load report that an answer carries, as far as it can be read.
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -3,8 +3,10 @@
 use bytes::{Bytes, BytesMut};
 use std::ops::Range;
 
-/// The most bytes of a body.
+/// The most bytes of a body that is taken whole.
 pub const BODY: usize = 64 * 1024;
+/// The most bytes of a body that passes in pieces: 32 MB, however they are counted.
+pub const LONG: usize = 33 << 20;
 /// The most bytes of a body that holds a list: some thousands of entries.
 pub const LIST: usize = 4 << 20;
 /// The most bytes of a head.
@@ -43,10 +45,15 @@
 }
 
 impl Kind {
-    /// The most bytes of a body.
+    /// The most bytes of a body that is taken whole.
     fn most(self) -> usize {
         if self == Self::ListResponse { LIST } else { BODY }
     }
+
+    /// The most bytes of a body.
+    fn longest(self) -> usize {
+        if self == Self::ListResponse { LIST } else { LONG }
+    }
 }
 
 /// A head, and how its body is framed.
@@ -58,6 +65,8 @@
     framing: Framing,
     /// The connection is not used after this message.
     pub close: bool,
+    /// It is of HTTP/1.0.
+    pub old: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +77,129 @@
     End,
 }
 
+/// A body as it comes, piece by piece.
+#[derive(Debug)]
+pub struct Body {
+    at: At,
+    /// So many bytes more may come.
+    room: usize,
+}
+
+/// Where in a body its reader is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum At {
+    /// So many bytes of data come next, and then the end.
+    Data(usize),
+    /// A chunk's size.
+    Size,
+    /// So many bytes of a chunk's data.
+    Chunk(usize),
+    /// The end of a chunk's data.
+    ChunkEnd,
+    Trailers,
+    /// Data to the end of the connection.
+    Rest,
+    Done,
+}
+
+impl Body {
+    /// The body of a message with this head.
+    pub fn of(head: &Head) -> Self {
+        let at = match head.framing {
+            Framing::Length(0) => At::Done,
+            Framing::Length(n) => At::Data(n),
+            Framing::Chunked => At::Size,
+            Framing::End => At::Rest,
+        };
+        Self { at, room: LONG }
+    }
+
+    /// None, as an answer to HEAD has.
+    pub fn none() -> Self {
+        Self { at: At::Done, room: 0 }
+    }
+
+    /// It has come to its end.
+    pub fn done(&self) -> bool {
+        self.at == At::Done
+    }
+
+    /// The bytes of a message again, as far as they were taken: its head, and what was taken of this body of it.
+    pub fn again(&self, head: &Head, taken: &[u8]) -> BytesMut {
+        let mut bytes = BytesMut::from(&head.bytes[..]);
+        let chunk = |size: usize| format!("{size:x}\r\n");
+        let (before, after) = match self.at {
+            At::Size if !taken.is_empty() => (chunk(taken.len()), "\r\n"),
+            At::Trailers if !taken.is_empty() => (chunk(taken.len()), "\r\n0\r\n"),
+            At::Trailers => (String::new(), "0\r\n"),
+            At::Chunk(more) => (chunk(taken.len() + more), ""),
+            At::ChunkEnd => (chunk(taken.len()), ""),
+            At::Size | At::Data(_) | At::Rest | At::Done => (String::new(), ""),
+        };
+        [before.as_bytes(), taken, after.as_bytes()].iter().for_each(|part| bytes.extend_from_slice(part));
+        bytes
+    }
+
+    /// The connection has ended; whether the body has, too.
+    pub fn ended(&mut self) -> bool {
+        if self.at == At::Rest {
+            self.at = At::Done;
+        }
+        self.done()
+    }
+
+    /// Takes data off the front of the buffer, as much as there is up to some bytes; none where it is done or more must
+    /// come first.
+    pub fn take(&mut self, buffer: &mut BytesMut, most: usize) -> Result<Option<Bytes>, Bad> {
+        loop {
+            let n = match self.at {
+                At::Done => return Ok(None),
+                At::Data(n) | At::Chunk(n) => n.min(buffer.len()).min(most),
+                At::Rest => buffer.len().min(most),
+                At::Size => {
+                    let (start, size) = match httparse::parse_chunk_size(buffer) {
+                        Ok(httparse::Status::Complete(found)) => found,
+                        Ok(httparse::Status::Partial) if buffer.len() <= HEAD => return Ok(None),
+                        _ => return Err(Bad::Malformed),
+                    };
+                    let size = usize::try_from(size).ok().filter(|size| *size <= self.room);
+                    let size = size.ok_or(Bad::BodyTooLarge)?;
+                    drop(buffer.split_to(start));
+                    self.at = if size == 0 { At::Trailers } else { At::Chunk(size) };
+                    continue;
+                }
+                At::ChunkEnd => {
+                    match buffer.get(..2) {
+                        Some(b"\r\n") => drop(buffer.split_to(2)),
+                        Some(_) => return Err(Bad::Malformed),
+                        None => return Ok(None),
+                    }
+                    self.at = At::Size;
+                    continue;
+                }
+                At::Trailers => {
+                    let Some(end) = end_of_trailers(buffer)? else { return Ok(None) };
+                    drop(buffer.split_to(end));
+                    self.at = At::Done;
+                    return Ok(None);
+                }
+            };
+            if n == 0 {
+                return Ok(None);
+            }
+            self.room = self.room.checked_sub(n).ok_or(Bad::BodyTooLarge)?;
+            self.at = match self.at {
+                At::Data(all) if all == n => At::Done,
+                At::Data(all) => At::Data(all - n),
+                At::Chunk(all) if all == n => At::ChunkEnd,
+                At::Chunk(all) => At::Chunk(all - n),
+                other => other,
+            };
+            return Ok(Some(buffer.split_to(n).freeze()));
+        }
+    }
+}
+
 /// A whole message.
 #[derive(Debug, Clone)]
 pub struct Message {
@@ -112,6 +244,16 @@
         if let Start::Response { status } = self.start { status } else { 0 }
     }
 
+    /// How long the body is, where that is told ahead.
+    pub fn length(&self) -> Option<usize> {
+        if let Framing::Length(n) = self.framing { Some(n) } else { None }
+    }
+
+    /// Whether the sender waits for a sign that its body is wanted.
+    pub fn expects(&self) -> bool {
+        !self.old && self.get("expect").is_some_and(|value| value.eq_ignore_ascii_case(b"100-continue"))
+    }
+
     /// Whether the body comes in chunks.
     pub fn chunked(&self) -> bool {
         self.framing == Framing::Chunked
@@ -143,9 +285,9 @@
             (None, None) if response => Framing::End,
             (None, None) => Framing::Length(0),
         };
-        (self.framing, self.close) = (framing, close || framing == Framing::End);
+        (self.framing, self.close, self.old) = (framing, close || framing == Framing::End, old);
         match framing {
-            Framing::Length(n) if n > kind.most() => Err(Bad::BodyTooLarge),
+            Framing::Length(n) if n > kind.longest() => Err(Bad::BodyTooLarge),
             _ => Ok(()),
         }
     }
@@ -182,7 +324,7 @@
     };
     let fields = fields.iter().map(|h| (here(h.name.as_bytes()), here(h.value))).collect();
     let bytes = Bytes::copy_from_slice(&buffer[..length]);
-    let mut head = Head { bytes, start, fields, framing: Framing::End, close: false };
+    let mut head = Head { bytes, start, fields, framing: Framing::End, close: false, old: false };
     head.frame(kind, version != Some(1))?;
     Ok(Some((head, length)))
 }
@@ -243,6 +385,7 @@
         }
     };
     let body = match head.framing {
+        Framing::Length(n) if n > kind.most() => return Err(Bad::BodyTooLarge),
         Framing::Length(n) if buffer.len() >= length + n => {
             let mut whole = buffer.split_to(length + n);
             whole.split_off(length).freeze()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod discovery;
 pub mod http;
 pub mod peers;
+pub mod pieces;
 pub mod schedulings;
 pub mod server_side;
 pub mod stream;
--- a/src/net/schedulings.rs
+++ b/src/net/schedulings.rs
@@ -107,6 +107,15 @@
         }
     }
 
+    /// Who carries a job tells that its answer begins to pass on; false where it was given up.
+    pub fn began(&self, (flow, no): Id, answer: A) -> bool {
+        let runs = self.running.borrow().contains_key(&(flow, no));
+        if runs {
+            self.exchange.tell(News::Began(flow, no, answer));
+        }
+        runs
+    }
+
     /// Who carries a job tells how it ended; one that was given up has been reported.
     pub fn ended(&self, id: Id, ending: Ending<A>) {
         if self.running.borrow_mut().remove(&id).is_some() {
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -3,7 +3,8 @@
 
 use super::budget::{Budget, Held};
 use super::client_side::{Answer, Question};
-use super::http::{Bad, HEAD, Kind, Message, take_message};
+use super::http::{BODY, Bad, Body, HEAD, Head, Kind, peek_head};
+use super::pieces::{self, Once, PIECE, Piece, Pieces};
 use super::stream::read_more;
 use crate::deadlines::Deadlines;
 use crate::exchange::{Exchange, Terms, Verdict};
@@ -11,13 +12,14 @@
 use crate::stats::{End, Stats, Taken};
 use bytes::{BufMut, Bytes, BytesMut};
 use slog::{Logger, info, warn};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
@@ -26,7 +28,11 @@
 const IDLE: Millis = 5000.0;
 /// A client's first message is to be whole so long after it has connected, any other after its first byte. Bad
 /// clients are owed an error or a close within 3 s, silence included.
-const SLOW: Millis = 2500.0;
+const SLOW: Millis = 2850.0;
+/// The first of a body is to come so long after its head.
+const FIRST: Millis = 2500.0;
+/// A body comes at so many bytes a millisecond at the least, on average after that first while.
+const PACE: f64 = 16.0;
 /// A client that takes no bytes of its answer for this long is done without.
 const STALLED: Millis = 5000.0;
 /// After its last answer a connection is read out until it is silent for the first, at the most for the second.
@@ -159,7 +165,7 @@
     _close: oneshot::Sender<()>,
 }
 
-impl<F: Fn(&Message) -> Asked + 'static> ServerSide<F> {
+impl<F: Fn(&Head, Bytes, bool) -> Asked + 'static> ServerSide<F> {
     /// A server side that reads messages by `read` and holds `most` connections.
     pub fn new(
         read: F,
@@ -298,9 +304,25 @@
     }
 }
 
+/// A message as far as it has come.
+struct Message {
+    head: Head,
+    /// Its body, or the first of it.
+    body: Bytes,
+    /// Where the rest of a long body goes on.
+    rest: Option<Body>,
+}
+
+/// What is answered to a message that is no flow.
+type Wrong = (u16, &'static str);
+
+const NO_ROOM: Wrong = (503, "no room");
+const TOO_SLOW: Wrong = (408, "the request took too long to come in");
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// What follows on a connection.
 enum Next {
-    /// A whole message.
+    /// A message: a short one whole.
     Message(Message),
     /// It ends between messages, or is closed there.
     Over,
@@ -333,19 +355,17 @@
     }
 }
 
-impl<F: Fn(&Message) -> Asked> Connection<F> {
+impl<F: Fn(&Head, Bytes, bool) -> Asked> Connection<F> {
     async fn run(self, mut stream: TcpStream, mut buffer: BytesMut, mut began: Option<Millis>) {
         let mut out = BytesMut::new();
         loop {
             out.clear();
             let mut held = self.shared.room.budget.hold();
-            let mut counts = None;
-            let again = match self.next(&mut stream, &mut buffer, &mut held, &mut began).await {
+            let said = match self.next(&mut stream, &mut buffer, &mut held, &mut began).await {
                 Ok(Next::Message(message)) => {
-                    let said = self.answer(&message, &mut stream, &mut buffer, &mut out).await;
-                    let Some((close, count)) = said else { return };
-                    counts = count;
-                    !close
+                    let said = self.answer(message, &mut stream, &mut buffer, &mut out).await;
+                    let Some(said) = said else { return };
+                    said
                 }
                 Ok(Next::Over) => return,
                 Ok(Next::Pass) => {
@@ -354,27 +374,90 @@
                     let _ = self.shared.passing.send(Passing { stream, bytes, flows, age });
                     return;
                 }
-                Err((status, text)) => {
-                    let after = (status == 503).then_some(self.shared.retry_after);
-                    plain(&mut out, status, text, after, true);
-                    false
-                }
+                Err(wrong) => self.wrong(&mut out, wrong),
             };
             drop(held);
-            let written = self.shared.deadlines.within(STALLED, stream.write_all(&out)).await;
-            if let (Some(Ok(())), Some((taken, end))) = (&written, counts) {
-                Taken::ended(taken, end);
+            let Said { close, counts, rest } = said;
+            if !self.write(&mut stream, &out).await {
+                return;
             }
-            match written {
-                Some(Ok(())) if again => began = None,
-                Some(Ok(())) => {
-                    let _ = stream.shutdown().await;
-                    drop((buffer, out));
-                    return self.linger(stream).await;
+            if let Some((rest, chunked)) = rest {
+                match self.pass_on(&mut stream, &mut buffer, rest, chunked).await {
+                    Passed::Whole => {}
+                    Passed::Broken => {
+                        if let Some((taken, _)) = counts {
+                            taken.ended(End::Failed);
+                        }
+                        // Prevents an answer that has no other end from looking whole.
+                        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        return;
+                    }
+                    Passed::Left => return,
                 }
-                _ => return,
+            }
+            if let Some((taken, end)) = counts {
+                taken.ended(end);
+            }
+            if close {
+                let _ = stream.shutdown().await;
+                drop((buffer, out));
+                return self.linger(stream).await;
+            }
+            began = None;
+        }
+    }
+
+    /// Writes bytes as fast as the client takes them; false where it takes none any more.
+    async fn write(&self, stream: &mut TcpStream, mut bytes: &[u8]) -> bool {
+        while !bytes.is_empty() {
+            match self.shared.deadlines.within(STALLED, stream.write(bytes)).await {
+                Some(Ok(n)) if n > 0 => bytes = &bytes[n..],
+                _ => return false,
             }
         }
+        true
+    }
+
+    /// Writes the rest of an answer as it comes.
+    async fn pass_on(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        mut rest: Pieces,
+        chunked: bool,
+    ) -> Passed {
+        let mut bytes = BytesMut::new();
+        loop {
+            let piece = tokio::select! {
+                biased;
+                piece = rest.recv() => piece,
+                more = read_more(stream, buffer), if buffer.len() < HEAD => match more {
+                    Ok(true) => continue,
+                    _ => return Passed::Left,
+                },
+            };
+            bytes.clear();
+            match piece {
+                Some(Piece::Data(data)) => {
+                    chunk(&mut bytes, &data, chunked);
+                    if !self.write(stream, &bytes).await {
+                        return Passed::Left;
+                    }
+                }
+                Some(Piece::End) => {
+                    let end: &[u8] = if chunked { b"0\r\n\r\n" } else { b"" };
+                    return if self.write(stream, end).await { Passed::Whole } else { Passed::Left };
+                }
+                None => return Passed::Broken,
+            }
+        }
+    }
+
+    /// Words what is wrong with a message; its connection ends, since nobody knows what follows.
+    fn wrong(&self, out: &mut BytesMut, (status, text): Wrong) -> Said {
+        let after = (status == 503).then_some(self.shared.retry_after);
+        plain(out, status, text, after, true);
+        Said { close: true, counts: None, rest: None }
     }
 
     /// Reads on after the last answer, whatever still comes: prevents a reset from overtaking it. Nothing of it is
@@ -407,34 +490,36 @@
         ends && *role.borrow() != Role::Gone
     }
 
-    /// The next whole message, if the connection neither ends nor is closed nor passes on before it.
+    /// The next message: a short one whole, of a long one the head and what has come of its body; or that the connection
+    /// ends, is closed or passes on before it.
     async fn next(
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         held: &mut Held<'_>,
         began: &mut Option<Millis>,
-    ) -> Result<Next, (u16, &'static str)> {
+    ) -> Result<Next, Wrong> {
         let shared = &self.shared;
         let first = began.is_some() && !self.flows.get();
         let mut role = shared.signals.role.clone();
-        loop {
+        let head = loop {
             if *role.borrow() == Role::Gone && !self.full {
                 return Ok(Next::Pass);
             }
-            match take_message(buffer, Kind::Request, false) {
-                Ok(Some(message)) => return Ok(Next::Message(message)),
+            match peek_head(buffer, Kind::Request) {
+                Ok(Some((head, length))) => {
+                    drop(buffer.split_to(length));
+                    break head;
+                }
                 Ok(None) => {}
-                Err(Bad::Malformed) => return Err((400, "malformed request")),
-                Err(Bad::BodyTooLarge) => return Err((413, "the body is larger than 64 KiB")),
-                Err(Bad::HeadTooLarge) => return Err((431, "the head is too large")),
+                Err(bad) => return Err(what_is_wrong(bad)),
             }
             let (now, idle) = (shared.deadlines.clock().now(), buffer.is_empty());
             if idle {
                 // Prevents idle connections from holding memory.
                 *buffer = BytesMut::new();
             } else if !held.grow(buffer.len()) {
-                return Err((503, "no room"));
+                return Err(NO_ROOM);
             }
             let ends = match (idle, *began) {
                 (true, None) => now + IDLE,
@@ -442,8 +527,7 @@
             };
             // A message that has begun on a connection that brought flows is a usual client's.
             // While an operator's drain lasts, who has just come is still heard.
-            let closes =
-                self.draining() && (!first || *self.shared.signals.phase.borrow() == Phase::Draining);
+            let closes = self.draining() && (!first || *shared.signals.phase.borrow() == Phase::Draining);
             let spared = if idle { !closes } else { !self.flows.get() };
             let mut spare = spared.then(|| shared.spare((self.flows.get(), idle), began.unwrap_or(0.0)));
             let closing = async {
@@ -472,80 +556,297 @@
             }
             match more {
                 Some(true) => {}
-                None if !idle => return Err((408, "the request took too long to come in")),
+                None if !idle => return Err(TOO_SLOW),
                 _ => return Ok(Next::Over),
             }
+        };
+        let mut body = Body::of(&head);
+        let (mut taken, mut read, started) = (BytesMut::new(), 0, shared.deadlines.clock().now());
+        loop {
+            match body.take(buffer, BODY) {
+                Ok(Some(data)) => {
+                    taken.extend_from_slice(&data);
+                    if taken.len() <= BODY && held.grow(taken.len() + buffer.len()) {
+                        continue;
+                    }
+                }
+                Ok(None) => {}
+                Err(bad) => return Err(what_is_wrong(bad)),
+            }
+            let whole = body.done();
+            if whole && taken.len() <= BODY {
+                return Ok(Next::Message(Message { head, body: taken.freeze(), rest: None }));
+            }
+            if taken.len() > BODY || !held.grow(taken.len() + buffer.len()) {
+                return Ok(Next::Message(Message { head, body: taken.freeze(), rest: Some(body) }));
+            }
+            if read == 0 {
+                // What nobody wants, nobody is asked to send.
+                if let Asked::Wrong(status, text) = (shared.read)(&head, Bytes::new(), false) {
+                    return Err((status, text));
+                }
+                if self.full {
+                    return Err(NO_ROOM);
+                }
+                if head.expects() && taken.is_empty() && !self.write(stream, CONTINUE).await {
+                    return Ok(Next::Over);
+                }
+            }
+            // As with a head that is not whole: it may go where room is needed.
+            let mut spare = (!self.flows.get()).then(|| shared.spare((false, false), started));
+            let closing = async {
+                match &mut spare {
+                    Some((_, closing)) => drop(closing.await),
+                    None => std::future::pending().await,
+                }
+            };
+            let more = tokio::select! {
+                biased;
+                more = read_more(stream, buffer) => Ok(more.unwrap_or(false)),
+                () = closing => Err(TOO_SLOW),
+                Ok(_) = role.wait_for(|role| *role == Role::Gone), if !self.full => Ok(true),
+                () = shared.deadlines.sleep(self.pace(started, read)) => Err(TOO_SLOW),
+            };
+            if let Some((place, _)) = spare {
+                shared.keep(place);
+            }
+            if !more? {
+                return Ok(Next::Over);
+            }
+            if *role.borrow() == Role::Gone && !self.full {
+                let mut again = body.again(&head, &taken);
+                again.extend_from_slice(buffer);
+                *buffer = again;
+                *began = Some(started);
+                return Ok(Next::Pass);
+            }
+            read += buffer.len();
         }
     }
 
-    /// Answers a message; tells whether the connection is to be closed then and how a flow ends once that is written,
-    /// or none where the client left.
+    /// How long a body may still take from now on that began then and has brought so many bytes.
+    fn pace(&self, started: Millis, bytes: usize) -> Millis {
+        started + FIRST + bytes as f64 / PACE - self.shared.deadlines.clock().now()
+    }
+
+    /// Passes the rest of a body on as it comes, to its end.
+    async fn upload(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        (mut body, mut read): (Body, usize),
+        pieces: mpsc::Sender<Piece>,
+    ) -> Upload {
+        let mut started = self.shared.deadlines.clock().now();
+        loop {
+            match body.take(buffer, PIECE) {
+                Ok(Some(data)) => {
+                    let before = self.shared.deadlines.clock().now();
+                    if pieces.send(Piece::Data(data)).await.is_err() {
+                        // The scheduling has ended: its verdict says what that means.
+                        return std::future::pending().await;
+                    }
+                    // The time that the real server took is not the client's.
+                    started += self.shared.deadlines.clock().now() - before;
+                    continue;
+                }
+                Ok(None) if body.done() => {
+                    let _ = pieces.send(Piece::End).await;
+                    return Upload::Whole;
+                }
+                Ok(None) => {}
+                Err(bad) => return Upload::Wrong(what_is_wrong(bad)),
+            }
+            let within = self.pace(started, read);
+            buffer.reserve(PIECE);
+            let mut room = (&mut *buffer).limit(PIECE);
+            match self.shared.deadlines.within(within, stream.read_buf(&mut room)).await {
+                Some(Ok(n)) if n > 0 => read += n,
+                None => return Upload::Wrong(TOO_SLOW),
+                _ => return Upload::Left,
+            }
+        }
+    }
+
+    /// Answers a message; none where the client left.
     async fn answer(
         &self,
-        message: &Message,
+        message: Message,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         out: &mut BytesMut,
-    ) -> Option<(bool, Option<(Taken, End)>)> {
+    ) -> Option<Said> {
         let shared = &self.shared;
-        let closes = |close: bool| close || message.head.close || self.full || self.draining();
-        match (shared.read)(message) {
+        let Message { head, body, rest } = message;
+        let read = body.len();
+        let unread = rest.is_some();
+        let bodiless = head.request_line().0 == b"HEAD";
+        let closes = |close: bool| close || head.close || self.full || self.draining();
+        let said = |close: bool, counts| Some(Said { close, counts, rest: None });
+        match (shared.read)(&head, body, !unread) {
             Asked::Wrong(status, text) => {
-                let close = closes(false);
+                let close = closes(unread);
                 plain(out, status, text, None, close);
-                Some((close, None))
+                said(close, None)
             }
             Asked::Ready => {
-                let close = closes(false);
+                let close = closes(unread);
+                let before = out.len();
                 match (*shared.signals.phase.borrow(), *shared.signals.drain.borrow()) {
                     (Phase::Serving, Drain::No) => plain(out, 200, "ready", None, close),
                     _ => plain(out, 503, "not ready", None, close),
                 }
-                Some((close, None))
+                if bodiless {
+                    strip(out, before);
+                }
+                said(close, None)
             }
             Asked::Flow(terms, ..) if self.full => {
                 plain(out, 503, "no room", Some(shared.retry_after), true);
-                Some((true, Some((shared.stats.take(terms.class), End::Rejected))))
+                said(true, Some((shared.stats.take(terms.class), End::Rejected)))
             }
-            Asked::Flow(terms, question, id) => {
+            Asked::Flow(terms, mut question, id) => {
                 // Prevents a client from taking another's answer, and one id from being out twice.
                 if !shared.ids.borrow_mut().insert(id.clone()) {
-                    let close = closes(false);
+                    let close = closes(unread);
                     plain(out, 409, "the id is that of an open flow", None, close);
-                    return Some((close, None));
+                    return said(close, None);
                 }
                 let _id = Id(shared, id);
                 self.flows.set(true);
                 let taken = shared.stats.take(terms.class);
+                let upload = rest.map(|body| {
+                    let (sender, pieces) = pieces::way();
+                    question.rest = Some(Once::new(pieces));
+                    (body, sender)
+                });
                 let mut waiting = shared.exchange.arrive(terms, question);
-                let verdict = loop {
-                    tokio::select! {
+                let mut early = None;
+                if let Some((body, sender)) = upload {
+                    let upload = self.upload(stream, buffer, (body, read), sender);
+                    let went = tokio::select! {
                         biased;
-                        verdict = &mut waiting => break verdict,
-                        // A client that ends its connection has left; dropping `waiting` says so. What comes early
-                        // waits, and no more of it is taken in than a head may hold.
-                        more = read_more(stream, buffer), if buffer.len() < HEAD => {
-                            if !more.unwrap_or(false) {
-                                return None;
-                            }
+                        verdict = &mut waiting => {
+                            early = Some(verdict);
+                            Upload::Whole
                         }
+                        went = upload => went,
+                    };
+                    match went {
+                        Upload::Whole => {}
+                        Upload::Wrong(wrong) => return Some(self.wrong(out, wrong)),
+                        Upload::Left => return None,
                     }
+                    waiting.uploaded();
+                }
+                // Of a body that is not read to its end nobody knows where the next message begins.
+                let unread = early.is_some();
+                let verdict = match early {
+                    Some(verdict) => verdict,
+                    None => loop {
+                        tokio::select! {
+                            biased;
+                            verdict = &mut waiting => break verdict,
+                            // A client that ends its connection has left; dropping `waiting` says so. What comes early
+                            // waits, and no more of it is taken in than a head may hold.
+                            more = read_more(stream, buffer), if buffer.len() < HEAD => {
+                                if !more.unwrap_or(false) {
+                                    return None;
+                                }
+                            }
+                        }
+                    },
                 };
-                let close = closes(false);
-                let end = verdict.end();
+                let (mut close, end, before, mut rest) = (closes(unread), verdict.end(), out.len(), None);
                 match verdict {
-                    Verdict::Served(answer) => served(out, &answer, close),
+                    Verdict::Served(answer) => {
+                        // Without a length and without chunks, only the end of the connection tells the end.
+                        let chunked = answer.rest.is_some() && answer.length.is_none() && !head.old;
+                        close |= answer.rest.is_some() && answer.length.is_none() && head.old;
+                        served(out, &answer, chunked, bodiless, close);
+                        rest = answer.rest.map(|rest| (rest, chunked));
+                    }
                     Verdict::TurnDown(after) => plain(out, 429, "turned down", Some(after), close),
                     Verdict::NoRoom(after) => plain(out, 503, "no room", Some(after), close),
                     Verdict::Failed { timed_out: true } => plain(out, 504, "no answer in time", None, close),
                     Verdict::Failed { timed_out: false } => plain(out, 502, "failed", None, close),
                 }
-                Some((close, Some((taken, end))))
+                if bodiless {
+                    strip(out, before);
+                }
+                if head.old && !close {
+                    keep_alive(out, before);
+                }
+                Some(Said { close, counts: Some((taken, end)), rest })
             }
         }
     }
 }
 
+/// How the rest of a body came.
+enum Upload {
+    /// To its end.
+    Whole,
+    /// Not as it should: this is to be answered.
+    Wrong(Wrong),
+    /// The client left.
+    Left,
+}
+
+/// How the rest of an answer went.
+enum Passed {
+    /// To its end.
+    Whole,
+    /// It broke off at the real server.
+    Broken,
+    /// The client left, or takes no more.
+    Left,
+}
+
+/// What was said to a message.
+struct Said {
+    /// The connection is to be closed then.
+    close: bool,
+    /// How a flow ends once that is written.
+    counts: Option<(Taken, End)>,
+    /// What follows, and whether in chunks.
+    rest: Option<(Pieces, bool)>,
+}
+
+fn what_is_wrong(bad: Bad) -> Wrong {
+    match bad {
+        Bad::Malformed => (400, "malformed request"),
+        Bad::BodyTooLarge => (413, "the body is too large"),
+        Bad::HeadTooLarge => (431, "the head is too large"),
+    }
+}
+
+/// Leaves of what was written from here on only the head.
+fn strip(out: &mut BytesMut, from: usize) {
+    let head = out[from..].windows(4).position(|end| end == b"\r\n\r\n");
+    head.inspect(|end| out.truncate(from + end + 4));
+}
+
+/// Says in the head that begins here that the connection stays open: HTTP/1.0 takes it for closed otherwise.
+fn keep_alive(out: &mut BytesMut, from: usize) {
+    if let Some(end) = out[from..].windows(2).position(|end| end == b"\r\n") {
+        let rest = out.split_off(from + end + 2);
+        out.put_slice(b"Connection: keep-alive\r\n");
+        out.unsplit(rest);
+    }
+}
+
+/// Appends a piece of a body.
+fn chunk(bytes: &mut BytesMut, data: &[u8], chunked: bool) {
+    if chunked {
+        bytes.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    }
+    bytes.put_slice(data);
+    if chunked {
+        bytes.put_slice(b"\r\n");
+    }
+}
+
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
@@ -564,26 +865,30 @@
     }
 }
 
-fn head(out: &mut BytesMut, status: u16, length: usize, close: bool) {
+fn head(out: &mut BytesMut, status: u16, length: Option<usize>, close: bool) {
     let connection = if close { "Connection: close\r\n" } else { "" };
-    let text = format!("HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n{connection}", reason(status));
+    let length = length.map(|length| format!("Content-Length: {length}\r\n")).unwrap_or_default();
+    let text = format!("HTTP/1.1 {status} {}\r\n{length}{connection}", reason(status));
     out.put_slice(text.as_bytes());
 }
 
-fn served(out: &mut BytesMut, answer: &Answer, close: bool) {
+fn served(out: &mut BytesMut, answer: &Answer, chunked: bool, bodiless: bool, close: bool) {
     out.reserve(answer.body.len() + 192);
-    head(out, 200, answer.body.len(), close);
+    let whole = (answer.rest.is_none() && !bodiless).then_some(answer.body.len());
+    head(out, 200, whole.or(answer.length), close);
     if let Some(content_type) = &answer.content_type {
         out.put_slice(b"Content-Type: ");
         out.put_slice(content_type);
         out.put_slice(b"\r\n");
     }
-    out.put_slice(b"\r\n");
-    out.put_slice(&answer.body);
+    out.put_slice(if chunked { b"Transfer-Encoding: chunked\r\n\r\n".as_slice() } else { b"\r\n" });
+    if !answer.body.is_empty() {
+        chunk(out, &answer.body, chunked);
+    }
 }
 
 fn plain(out: &mut BytesMut, status: u16, text: &str, retry_after: Option<Millis>, close: bool) {
-    head(out, status, text.len() + 1, close);
+    head(out, status, Some(text.len() + 1), close);
     if let Some(after) = retry_after {
         out.put_slice(format!("Retry-After: {}\r\n", seconds(after)).as_bytes());
     }
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -2,7 +2,7 @@
 
 use super::counter::take_answer;
 use super::discovery::Lines;
-use super::http::{BODY, Bad, Kind, Message, take_message};
+use super::http::{BODY, Bad, Body, Kind, LONG, Message, peek_head, take_message};
 use crate::config::{Pairs, Site};
 use crate::fronts::platform;
 use crate::interface::CounterAnswer;
@@ -69,6 +69,60 @@
     assert_eq!(bodies, [&b"hello"[..], b"", b"abc0123456789"]);
 }
 
+/// What a body brings, and what a reader brings that has it again from the place of any cut on.
+fn body_of(bytes: &[u8], cuts: &[u16]) -> Result<[Vec<u8>; 2], Bad> {
+    let (mut buffer, mut all, mut again) = (BytesMut::from(bytes), Vec::new(), None);
+    let (head, length) = peek_head(&buffer, Kind::Request)?.ok_or(Bad::Malformed)?;
+    let mut rest = buffer.split_off(length);
+    let mut body = Body::of(&head);
+    let (mut came, mut place) = (BytesMut::new(), 0);
+    let mut found = Ok(());
+    in_pieces(&rest.split(), cuts, |piece| {
+        came.extend_from_slice(piece);
+        place += piece.len();
+        loop {
+            match body.take(&mut came, 7) {
+                Ok(Some(data)) => all.extend_from_slice(&data),
+                Ok(None) => break,
+                Err(bad) => {
+                    found = Err(bad);
+                    break;
+                }
+            }
+        }
+        if !body.done() && cuts.first().is_some_and(|cut| place > usize::from(*cut) % 60) && again.is_none() {
+            let mut bytes_again = body.again(&head, &all);
+            bytes_again.extend_from_slice(&came);
+            bytes_again.extend_from_slice(&bytes[length + place..]);
+            again = Some(bytes_again);
+        }
+        Vec::<()>::new()
+    });
+    found?;
+    let again = again.map(|bytes| body_of(&bytes, &[])).transpose()?;
+    let again = again.map_or(all.clone(), |[again, _]| again);
+    if body.done() { Ok([all, again]) } else { Err(Bad::Malformed) }
+}
+
+#[test]
+fn a_body_is_the_same_however_it_is_cut_and_wherever_another_reader_goes_on() {
+    fn cut(cuts: Vec<u16>) -> bool {
+        let chunks: &[u8] = b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\
+            3\r\nabc\r\nA;ext=1\r\n0123456789\r\n1c\r\nabcdefghijklmnopqrstuvwxyz01\r\n0\r\nT: 1\r\n\r\n";
+        let known: &[u8] = b"POST /x HTTP/1.1\r\nContent-Length: 41\r\n\r\n\
+            abc0123456789abcdefghijklmnopqrstuvwxyz01";
+        let all = b"abc0123456789abcdefghijklmnopqrstuvwxyz01".to_vec();
+        [chunks, known].iter().all(|bytes| body_of(bytes, &cuts) == Ok([all.clone(), all.clone()]))
+    }
+    fn garbage(garbage: Vec<u8>, cuts: Vec<u16>) -> bool {
+        let bytes = [b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", &garbage[..]].concat();
+        body_of(&bytes, &cuts).map_or(true, |[all, _]| all.len() <= garbage.len())
+    }
+    let check = || QuickCheck::new().rng(Gen::from_size_and_seed(200, 11)).tests(400);
+    check().quickcheck(cut as fn(Vec<u16>) -> bool);
+    check().quickcheck(garbage as fn(Vec<u8>, Vec<u16>) -> bool);
+}
+
 #[test]
 fn garbage_and_damaged_messages_are_turned_away_without_a_panic() {
     fn parse(bytes: &[u8], cuts: &[u16]) -> bool {
@@ -97,6 +151,8 @@
     assert!(cases.iter().all(|text| bad(text) == Some(Err(Bad::Malformed))), "{:?}", cases.map(bad));
     let large = format!("POST /x HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BODY + 1);
     assert_eq!(bad(&large), Some(Err(Bad::BodyTooLarge)));
+    let huge = format!("POST /x HTTP/1.1\r\nContent-Length: {}\r\n\r\n", LONG + 1);
+    assert!(matches!(peek_head(huge.as_bytes(), Kind::Request), Err(Bad::BodyTooLarge)));
     let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
     let chunks = format!("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk.repeat(3));
     assert_eq!(bad(&chunks), Some(Err(Bad::BodyTooLarge)));
@@ -158,7 +214,7 @@
     let site = site.unwrap();
     let read = |text: &[u8]| {
         let message = take_message(&mut BytesMut::from(text), Kind::Request, false).unwrap().unwrap();
-        platform::read(&message, &site)
+        platform::read(&message.head, message.body, true, &site)
     };
     let sound = String::from_utf8(REQUESTS.to_vec()).unwrap();
     let Asked::Flow(terms, question, id) = read(sound.as_bytes()) else { panic!("the first is a flow") };
--- a/src/node.rs
+++ b/src/node.rs
@@ -372,7 +372,7 @@
     core.parts.spawn_local(discovery.run(generation, teller));
     let room = Room { connections: flows, turned_away, idle: instance.limits.idle(), budget: budget() };
     let reader = site.clone();
-    let read = move |message: &_| platform::read(message, &reader);
+    let read = move |head: &_, body, whole| platform::read(head, body, whole, &reader);
     let (signals, stats) = ((core.signals(), passing), core.stats.clone());
     let bounds = (room, site.max_retry_after);
     let side = ServerSide::new(read, exchange, deadlines, signals, stats, bounds, log.clone());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -142,9 +142,7 @@
             }
             Event::Servers(kind, entries) => self.on_list(now, kind, entries, acts),
             Event::Request(request) => self.on_request(now, request, acts),
-            Event::StreamStarted(id, _) => {
-                self.requests.entry(id).and_modify(|open| open.deadline = f64::INFINITY);
-            }
+            Event::StreamStarted(id, no) => self.streams(id, no),
             Event::AttemptEnded(end) => self.on_end(now, end, acts),
             Event::ClientLeft(id) => acts.extend(self.finish(id)),
             Event::PeerMessage(from, bytes) => self.on_message(now, from, &bytes, acts),
@@ -818,7 +816,7 @@
         self.customers
             .entry(open.request.customer)
             .and_modify(|c| c.sent(units, open.counted && !open.attempts.is_empty()));
-        open.attempts.push(Attempt { server: id, sent: now, out: true });
+        open.attempts.push(Attempt { server: id, sent: now, out: true, streams: false });
         acts.push(Action::Send { request: open.request.id, server: id, wait });
         true
     }
@@ -831,9 +829,10 @@
             return;
         };
         attempt.out = false; // Tokens return however an attempt ends.
-        self.sent_sum -= open.request.units * attempt.sent;
+        let held = if attempt.streams { 0.0 } else { open.request.units };
+        self.sent_sum -= held * attempt.sent;
         let (request, plan) = (open.request, self.plan(open.request.plan));
-        self.in_flight -= request.units;
+        self.in_flight -= held;
         if let Some(customer) = self.customers.get_mut(&request.customer) {
             customer.returned(request.units);
             // A cap shared with others goes by what is out: tell them of the end, not of sends alone.
--- a/src/state.rs
+++ b/src/state.rs
@@ -296,6 +296,20 @@
         self.taken_at = now;
     }
 
+    /// What an attempt sends or is sent passes in pieces now: no deadline holds for it, and the server has no work with
+    /// it. Prevents those who read or write slowly from filling the room, or from making a server look silent.
+    pub(crate) fn streams(&mut self, id: RequestId, no: AttemptNo) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.deadline = f64::INFINITY;
+        let units = open.request.units;
+        let attempt = open.attempts.get_mut(usize::from(no.0)).filter(|a| a.out && !a.streams);
+        let Some(attempt) = attempt else { return };
+        attempt.streams = true;
+        (self.in_flight, self.sent_sum) = (self.in_flight - units, self.sent_sum - units * attempt.sent);
+        let out = self.servers.get_mut(&attempt.server).and_then(|s| s.out.get_mut(&(id, no)));
+        out.into_iter().for_each(|(_, _, usual)| *usual = f64::INFINITY);
+    }
+
     /// The servers on the list, and those of them that get no work now, by the list's word or by what was seen.
     pub fn members(&self, now: Millis) -> Members {
         let listed = self.servers.values().filter(|s| s.entry.state != ServerState::Gone);
@@ -550,6 +564,8 @@
     pub(crate) server: ServerId,
     pub(crate) sent: Millis,
     pub(crate) out: bool,
+    /// Its body still comes, or its answer has begun to pass on.
+    pub(crate) streams: bool,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
