--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 	cargo build --locked --release
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace --features weldhub-client/tls
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets --features weldhub-client/tls -- -D warnings
 
 # One ingress of the platform; RELAY_CONFIG names its configuration.
 run: build
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -434,3 +434,32 @@
         }
     });
 }
+
+#[test]
+fn the_operators_door_counts_checks_takes_authorisers_out_and_drains_callers() {
+    use stand_ins::door::{call as tell, figures};
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+        let door = listener().await.local_addr().unwrap();
+        let said = format!("management = \"{door}\"");
+        let at = start(config(&consul, &[("# management = \"127.0.0.1:9901\"", &said)])).await;
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+        assert_eq!(tell(door, "disable-server nobody\n").await, "fail no such server\n");
+        assert_eq!(tell(door, "disable-server n1/a\n").await, "ok\n");
+        assert_eq!(denial(&ask(at, BOARD, 1).await).0, 429, "nothing is left to ask");
+        let all = figures(door).await;
+        assert_eq!(all["svc_completed_total{lane=\"board-state\"}"], 1);
+        assert_eq!(all["svc_rejected_total{lane=\"board-state\"}"], 1);
+        assert_eq!((all["svc_upstream_requests_total"], all["svc_pending"]), (1, 0));
+        assert_eq!((all["svc_members"], all["svc_members_unavailable"]), (1, 1));
+        assert_eq!(tell(door, "enable-server n1/a\n").await, "ok\n");
+        // A caller that stays is told to connect anew; who does so is served all the same.
+        let kept = open(at).await.unwrap();
+        assert_eq!(tell(door, "drain\n").await, "ok draining\n");
+        until(|| kept.is_closed()).await;
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+        assert_eq!(tell(door, "resume\n").await, "ok\n");
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+    });
+}
--- /dev/null
+++ b/tests/measure.rs
@@ -0,0 +1,165 @@
+//! Measurements, not part of CI: `cargo test --release --test measure -- --ignored --nocapture`. They say what they
+//! find, and fail only where a bound of README.md is passed.
+
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::door::*;
+use stand_ins::ingress::*;
+use stand_ins::program::Program;
+use stand_ins::*;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::spawn_local;
+
+/// A figure of the process in kB.
+fn memory(program: &Program, what: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix(what)).unwrap();
+    line.trim_start_matches(':').trim().trim_end_matches(" kB").trim().parse().unwrap()
+}
+
+/// Real servers that answer each request with so many bytes.
+async fn servers(bytes: usize) -> std::net::SocketAddr {
+    let listener = listener().await;
+    let at = listener.local_addr().unwrap();
+    let answer: Rc<Vec<u8>> = Rc::new(
+        [format!("HTTP/1.1 200 OK\r\nContent-Length: {bytes}\r\n\r\n").into_bytes(), vec![7; bytes]].concat(),
+    );
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let answer = answer.clone();
+            spawn_local(async move {
+                let mut buffer = bytes::BytesMut::new();
+                while message(&mut stream, &mut buffer, weldhub::net::http::Kind::Request).await.is_some() {
+                    if stream.write_all(&answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn memory_under_streams_of_32_mb_and_the_doors_delay_under_load() {
+    local(async {
+        let (agent, at) = (Agent::start().await, servers(32 << 20).await);
+        let known = (0..8).map(|i| service_entry(&format!("s{i}"), at, 0, "in_service")).collect();
+        let mut told = told(agent.at, known);
+        told["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
+        told["settings"]["tariffs"][0]["storeSize"] = json!(1e6);
+        let door = listener().await.local_addr().unwrap();
+        let env = [("RELAY_MANAGEMENT", door.to_string())];
+        let mut program = Program::start("measure", &told.to_string(), &env, false);
+        let at = program.serving().await;
+        let before = memory(&program, "VmRSS");
+        let (read, done) = (Rc::new(Cell::new(0u64)), Rc::new(Cell::new(false)));
+        for i in 0..80 {
+            let (read, done) = (read.clone(), done.clone());
+            spawn_local(async move {
+                let mut client = Client::new(at).await;
+                client.send(&board(&format!("m{i}"), 1400, 1)).await;
+                let mut piece = vec![0; 64 * 1024];
+                while !done.get() {
+                    // Half of them read slowly, the others as fast as they can.
+                    if i % 2 == 0 {
+                        tokio::time::sleep(Duration::from_millis(250)).await;
+                    }
+                    match client.0.read(&mut piece).await {
+                        Ok(n) if n > 0 => read.set(read.get() + n as u64),
+                        _ => return,
+                    }
+                }
+            });
+        }
+        let (mut slowest, mut calls, began) = (Duration::ZERO, 0, Instant::now());
+        while began.elapsed() < Duration::from_secs(10) {
+            let at = Instant::now();
+            figures(door).await;
+            (slowest, calls) = (slowest.max(at.elapsed()), calls + 1);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let (peak, pending) = (memory(&program, "VmHWM"), figures(door).await["svc_pending"]);
+        done.set(true);
+        println!(
+            "{} MB passed on, {pending} pending; resident {before} kB before, {peak} kB at most; {calls} calls at the door, \
+             the slowest {slowest:?}",
+            read.get() >> 20
+        );
+        assert!(peak < 32 << 10 && slowest < Duration::from_secs(1));
+    });
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn requests_lost_in_twenty_upgrades_under_load() {
+    local(async {
+        let (agent, server) = (Agent::start().await, RealServer::start(ok("x")).await);
+        let free = listener().await.local_addr().unwrap();
+        let mut told = told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")]);
+        told["listen"] = json!(free.to_string());
+        told["settings"]["tariffs"][0]["storeSize"] = json!(1e6);
+        let folder = std::env::temp_dir().join(format!("weldhub-{}-measure.d", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let start = async |i: usize| {
+            let door = listener().await.local_addr().unwrap();
+            let env = [("RELAY_MANAGEMENT", door.to_string()), ("TMPDIR", folder.display().to_string())];
+            let mut program = Program::start(&format!("measure-{i}"), &told.to_string(), &env, false);
+            program.serving().await;
+            program
+        };
+        let mut old = start(0).await;
+        let (counts, done) = (Rc::new(Cell::new([0u64; 3])), Rc::new(Cell::new(false)));
+        let mut clients = Vec::new();
+        for c in 0..30 {
+            let (counts, done) = (counts.clone(), done.clone());
+            clients.push(spawn_local(async move {
+                let mut client = Client::new(free).await;
+                let mut n = 0;
+                while !done.get() {
+                    n += 1;
+                    if n % 50 == 0 {
+                        client = Client::new(free).await;
+                    }
+                    client.send(&board(&format!("c{c}-{n}"), 1400, 1)).await;
+                    let [mut served, mut refused, mut lost] = counts.get();
+                    match client.answer().await {
+                        Some(answer) if status(&answer) == 200 => served += 1,
+                        Some(_) => refused += 1,
+                        None => {
+                            lost += 1;
+                            client = Client::new(free).await;
+                        }
+                    }
+                    counts.set([served, refused, lost]);
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }));
+        }
+        let mut slowest = Duration::ZERO;
+        for i in 1..=20 {
+            let at = Instant::now();
+            let new = start(i).await;
+            slowest = slowest.max(at.elapsed());
+            old.signal("TERM");
+            assert!(old.end().await.success());
+            old = new;
+        }
+        done.set(true);
+        for client in clients {
+            client.await.unwrap();
+        }
+        let [served, refused, lost] = counts.get();
+        println!(
+            "{served} served, {refused} refused or failed, {lost} lost; the slowest start took {slowest:?}"
+        );
+        let _ = std::fs::remove_dir_all(&folder);
+        assert_eq!(lost, 0);
+    });
+}
