Decide what of Consul's word is believed in a reconciler without I/O; ask several agents

Need: src/consul.rs believed any health answer that was not empty, so one that lost half of the authorisers took them away, and a flapping one came back each time at once. Change: membership (pure): a drain is told in the same turn; the second return within a minute waits, each further one twice as long; a list that lacks more than a third of the ready ones, or all, is put to the catalogue, whose answer is the word. consul: several agents in turn, KnownLeader and LastContact heeded, stale reads with a bound, datacenter, namespace, filter, the warning weight. The stand-in's catalogue now has the published form. Open: TLS to the agent, several services, the platform's front: docs/ROADMAP.md.

--- a/src/config.rs
+++ b/src/config.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::{Class, ColdStart, Effect, GatewayId, Group, Millis, Plan, Settings, ZoneId};
 use crate::management::CALLERS;
+use crate::membership::Manner;
 use crate::net::discovery::List;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
@@ -453,6 +454,14 @@
 pub struct Consul {
     /// The agent.
     pub address: SocketAddr,
+    /// Agents that are asked where that one fails, one after the other.
+    pub others: Vec<SocketAddr>,
+    /// Stale reads are taken up to this age; none where only the leader's word counts.
+    pub max_stale: Option<Millis>,
+    /// What goes with every query: datacenter, namespace and filter.
+    pub narrowed: String,
+    /// How flaps and withdrawals are met.
+    pub manner: Manner,
     /// The authorisers' service.
     pub service: String,
     /// How long a blocking query may block.
@@ -517,6 +526,12 @@
     pub authz: Authz,
 }
 
+/// A value as a query holds it.
+fn escaped(value: &str) -> String {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.~".contains(&b);
+    value.bytes().map(|b| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") }).collect()
+}
+
 /// How old a caller's connection may become where the file says nothing.
 const CONNECTION_AGE: Millis = 60_000.0;
 /// The longest that a blocking query blocks where the file says nothing.
@@ -566,8 +581,34 @@
         if service.is_empty() || !service.bytes().all(plain) {
             return Err(unreadable("consul.service", &service));
         }
+        let mut narrowed = String::new();
+        for (key, name) in [("datacenter", "dc"), ("namespace", "ns"), ("filter", "filter")] {
+            if let Some(value) = pairs.get::<String>(&format!("consul.{key}"))? {
+                narrowed.push_str(&format!("&{name}={}", escaped(&value)));
+            }
+        }
+        let usual = Manner::default();
+        let manner = Manner {
+            hold: [
+                pairs.positive("consul.flap_hold_ms", usual.hold[0])?,
+                pairs.positive("consul.flap_hold_most_ms", usual.hold[1])?,
+            ],
+            share: pairs.get("consul.withdrawal_share")?.unwrap_or(usual.share),
+            ..usual
+        };
+        if !(0.0..=1.0).contains(&manner.share) {
+            return Err(ConfigError("consul.withdrawal_share must lie between 0 and 1".into()));
+        }
+        let max_stale = match pairs.get::<Millis>("consul.max_stale_ms")? {
+            Some(_) => Some(pairs.positive("consul.max_stale_ms", 1.0)?),
+            None => None,
+        };
         let consul = Consul {
             address: pairs.need("consul.address")?,
+            others: pairs.list("consul.others")?,
+            max_stale,
+            narrowed,
+            manner,
             service,
             wait: pairs.positive("consul.wait_ms", CONSUL_WAIT)?,
             token: env("CONSUL_HTTP_TOKEN"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 mod mail;
 pub mod maintenance;
 pub mod management;
+pub mod membership;
 pub mod net;
 pub mod node;
 pub mod pacing;
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -463,3 +463,58 @@
         assert_eq!(ask(at, BOARD, 1).await, allow());
     });
 }
+
+#[test]
+fn an_agent_that_fails_has_no_leader_or_is_too_old_is_left_for_the_next() {
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let other = Authoriser::start(Manner::Answer(deny())).await;
+        let bad: [fn(&Consul); 3] = [
+            |consul| *consul.lie.borrow_mut() = Some((500, "no".into())),
+            |consul| consul.says.borrow_mut().push_str("X-Consul-KnownLeader: false\r\n"),
+            |consul| consul.says.borrow_mut().push_str("X-Consul-LastContact: 9000\r\n"),
+        ];
+        for spoil in bad {
+            let one = Consul::start(vec![instance("b", other.at, 0, "passing")]).await;
+            let two = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
+            spoil(&one);
+            let more = format!("wait_ms = 55000\nothers = [\"{}\"]\nmax_stale_ms = 5000", two.at);
+            let at = start(config(&one, &[("wait_ms = 55000", &more)])).await;
+            assert_eq!(ask(at, BOARD, 1).await, allow(), "by the second agent's word");
+            assert!(two.asked.borrow()[0].contains("?stale"));
+        }
+    });
+}
+
+#[test]
+fn a_health_answer_that_loses_most_is_put_to_the_catalogue_and_a_critical_is_obeyed_at_once() {
+    use stand_ins::door::figures;
+    local(async {
+        let authoriser = Authoriser::start(Manner::Answer(allow())).await;
+        let all = |status: &str, n: usize| -> Vec<_> {
+            (0..n).map(|i| instance(&format!("a{i}"), authoriser.at, 0, status)).collect()
+        };
+        let consul = Consul::start(all("passing", 6)).await;
+        let door = listener().await.local_addr().unwrap();
+        let said = format!("management = \"{door}\"");
+        let at = start(config(&consul, &[("# management = \"127.0.0.1:9901\"", &said)])).await;
+        assert_eq!(ask(at, BOARD, 1).await, allow());
+        let members = async || {
+            let all = figures(door).await;
+            (all["svc_members"], all["svc_members_unavailable"])
+        };
+        assert_eq!(members().await, (6, 0));
+        *consul.lie.borrow_mut() = Some((200, serde_json::Value::from(all("passing", 1)).to_string()));
+        consul.set(None, all("passing", 6));
+        until(|| consul.asked.borrow().iter().any(|target| target.starts_with("/v1/catalog/service/"))).await;
+        let asked = consul.asked.borrow().len();
+        until(|| consul.asked.borrow().len() > asked + 3).await;
+        assert_eq!(members().await, (6, 0), "the catalogue holds them all");
+        // What the catalogue does not hold is gone.
+        consul.set(None, all("passing", 1));
+        while members().await != (1, 0) {}
+        *consul.lie.borrow_mut() = None;
+        consul.set(None, all("critical", 1));
+        while members().await != (1, 1) {}
+    });
+}
--- a/tests/measure.rs
+++ b/tests/measure.rs
@@ -163,3 +163,73 @@
         assert_eq!(lost, 0);
     });
 }
+
+/// From the moment when Consul writes that an authoriser is critical to the last check that reaches it.
+#[test]
+#[ignore = "a measurement"]
+fn how_long_after_consuls_word_checks_still_reach_a_drained_authoriser() {
+    use prost::Message;
+    use weldhub::fronts::ext_authz::proto::*;
+    local(async {
+        let allow = bytes::Bytes::from_static(&[0x0a, 0x00, 0x1a, 0x00]);
+        let (a, b) = (
+            Authoriser::start(Manner::Answer(allow.clone())).await,
+            Authoriser::start(Manner::Answer(allow)).await,
+        );
+        let both = |status: &str| vec![instance("a", a.at, 0, status), instance("b", b.at, 0, "passing")];
+        let consul = Consul::start(both("passing")).await;
+        let text = include_str!("../deploy/ext-authz.toml")
+            .replace("127.0.0.1:8500", &consul.at.to_string())
+            .replace("storeSize = 27.0", "storeSize = 1e6")
+            .replace("# flap_hold_ms = 1000", "flap_hold_ms = 1")
+            .replace("# flap_hold_most_ms = 30000", "flap_hold_most_ms = 1");
+        let config = weldhub::config::AuthzConfig::read(&text, |_| None).unwrap();
+        let listener = listener().await;
+        let at = listener.local_addr().unwrap();
+        let (_ways, ways) = tokio::sync::watch::channel(config.ways());
+        spawn_local(weldhub::node::serve_authz(config, listener, quiet(), ways, std::future::pending()));
+        let headers = [("x-club", "Almaty-7"), ("x-tier", "club")];
+        let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
+        let http =
+            HttpRequest { method: "GET".into(), path: "/api/boards/1".into(), headers, header_map: None };
+        let request = Some(Request { http: Some(http) });
+        let attributes = AttributeContext { request, context_extensions: Default::default() };
+        let check: bytes::Bytes = CheckRequest { attributes: Some(attributes) }.encode_to_vec().into();
+        for callers in [4, 40] {
+            let done = Rc::new(Cell::new(false));
+            for _ in 0..callers {
+                let (done, check) = (done.clone(), check.clone());
+                spawn_local(async move {
+                    while !done.get() {
+                        let Ok(sender) = weldhub::fronts::ext_authz::authorisers::open(at).await else {
+                            continue;
+                        };
+                        for _ in 0..50 {
+                            let request = tonic::Request::new(check.clone());
+                            let asked =
+                                weldhub::fronts::ext_authz::authorisers::call(sender.clone(), at, request);
+                            let _ = asked.await;
+                            tokio::time::sleep(Duration::from_millis(if callers == 4 { 20 } else { 2 }))
+                                .await;
+                        }
+                    }
+                });
+            }
+            let mut delays = Vec::new();
+            for _ in 0..40 {
+                let before = a.count();
+                until(|| a.count() > before).await;
+                let told = Instant::now();
+                consul.set(None, both("critical"));
+                tokio::time::sleep(Duration::from_millis(120)).await;
+                let last = a.last.lock().unwrap().unwrap();
+                delays.push(last.saturating_duration_since(told).as_secs_f64() * 1000.0);
+                consul.set(None, both("passing"));
+            }
+            done.set(true);
+            delays.sort_by(f64::total_cmp);
+            println!("{callers} callers: median {:.2} ms, worst of 40 {:.2} ms", delays[20], delays[39]);
+            assert!(delays[39] < 250.0);
+        }
+    });
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -165,3 +165,50 @@
         }
     });
 }
+
+#[test]
+fn a_full_table_and_a_broken_long_answer_are_counted_as_clients_saw_them() {
+    local(async {
+        let server = RealServer::start(Serve::Stall).await;
+        let agent = Agent::start().await;
+        let known = (0..8).map(|i| service_entry(&format!("s{i}"), server.at, 0, "in_service")).collect();
+        let mut told = told(agent.at, known);
+        let door = listener().await.local_addr().unwrap();
+        told["management"] = json!(door.to_string());
+        told["limits"]["sockets"] = json!(64);
+        let ingress = start(&told).await;
+        let mut clients = Vec::new();
+        // As many as the table holds, and one that is turned away.
+        let refused = loop {
+            let before = server.count();
+            let mut client = Client::new(ingress.at).await;
+            client.send(&board(&format!("a{}", clients.len()), 1400, 1)).await;
+            let answered = tokio::select! {
+                answer = client.answer() => answer,
+                () = until(|| server.count() > before) => None,
+            };
+            match answered {
+                Some(answer) => break answer,
+                None => clients.push(client),
+            }
+        };
+        assert_eq!(status(&refused), 503);
+        let all = figures(door).await;
+        assert_eq!(all["svc_rejected_total{lane=\"board-state\"}"], 1);
+        assert_eq!(all["svc_pending"], clients.len() as u64);
+        drop(clients);
+        while figures(door).await["svc_pending"] > 0 {}
+        // A first attempt that fails, and a long answer that breaks off: one try each way is counted.
+        let half = [b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n".to_vec(), vec![7; 100_000]].concat();
+        server.behave(Serve::Last(half));
+        let before = figures(door).await["svc_upstream_requests_total"];
+        let mut client = Client::new(ingress.at).await;
+        client.send(&board("b", 1400, 1)).await;
+        let mut rest = Vec::new();
+        let _ = client.0.read_to_end(&mut rest).await;
+        assert!(rest.starts_with(b"HTTP/1.1 200 OK") && rest.len() < 200_000);
+        let all = figures(door).await;
+        assert_eq!(all["svc_failed_total{lane=\"board-state\"}"], 1);
+        assert_eq!(all["svc_upstream_requests_total"], before + 1);
+    });
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -96,6 +96,8 @@
     /// The checks that it got, with their time-outs.
     pub calls: Calls,
     pub called: Arc<Notify>,
+    /// When the last one came.
+    pub last: Arc<Mutex<Option<std::time::Instant>>>,
     /// Calls that were dropped before an answer.
     pub dropped: Arc<Notify>,
     connections: Arc<Mutex<Vec<AbortHandle>>>,
@@ -117,6 +119,7 @@
         let timeout = request.metadata().get("grpc-timeout").map(|v| v.to_str().unwrap().to_owned());
         self.calls.lock().unwrap().push((request.into_inner(), timeout));
         self.called.notify_one();
+        *self.last.lock().unwrap() = Some(std::time::Instant::now());
         let manner = self.manner.lock().unwrap().clone();
         let (connections, dropped) = (self.connections.clone(), Dropped(self.dropped.clone()));
         Box::pin(async move {
@@ -145,6 +148,7 @@
             manner: Arc::new(Mutex::new(manner)),
             calls: Calls::default(),
             called: Arc::default(),
+            last: Arc::default(),
             dropped: Arc::default(),
             connections: Arc::default(),
         };
@@ -221,6 +225,8 @@
     pub asked: Rc<RefCell<Vec<String>>>,
     /// What the health answer says in place of the truth.
     pub lie: Rc<RefCell<Option<(u16, String)>>>,
+    /// Header lines of its answers, each with its end.
+    pub says: Rc<RefCell<String>>,
 }
 
 /// An instance as Consul lists it.
@@ -233,12 +239,21 @@
     })
 }
 
+/// The same instances as the catalogue lists them.
+fn catalogued(health: &serde_json::Value) -> serde_json::Value {
+    let entry = |e: &serde_json::Value| {
+        serde_json::json!({"Node": e["Node"]["Node"], "Address": e["Node"]["Address"], "ServiceID": e["Service"]["ID"],
+            "ServiceAddress": e["Service"]["Address"], "ServicePort": e["Service"]["Port"]})
+    };
+    health.as_array().unwrap().iter().map(entry).collect()
+}
+
 impl Consul {
     pub async fn start(instances: Vec<serde_json::Value>) -> Self {
         let listener = listener().await;
         let state = watch::Sender::new((10, instances.into()));
-        let (asked, lie) = Default::default();
-        let this = Self { at: listener.local_addr().unwrap(), state, asked, lie };
+        let (asked, lie, says) = Default::default();
+        let this = Self { at: listener.local_addr().unwrap(), state, asked, lie, says };
         let serving = this.clone();
         serve_each(listener, move |stream| serving.clone().answer(stream));
         this
@@ -263,11 +278,13 @@
             let _ = tokio::time::timeout(wait, state.wait_for(|(index, _): &(u64, _)| *index != known)).await;
         }
         let (index, list) = self.state.borrow().clone();
+        let list = if path.starts_with("/v1/catalog/") { catalogued(&list) } else { list };
         let lie = self.lie.borrow().clone().filter(|_| path.starts_with("/v1/health/service/"));
         let (status, body) = lie.unwrap_or((200, list.to_string()));
         let length = body.len();
         let text = format!(
-            "HTTP/1.1 {status} X\r\nX-Consul-Index: {index}\r\nContent-Length: {length}\r\n\r\n{body}"
+            "HTTP/1.1 {status} X\r\nX-Consul-Index: {index}\r\n{}Content-Length: {length}\r\n\r\n{body}",
+            self.says.borrow()
         );
         let _ = stream.write_all(text.as_bytes()).await;
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -46,14 +46,18 @@
 
     /// Starts a process with this door; it is ready when this returns.
     async fn start(&self, i: usize) -> Program {
-        let env =
-            [("TMPDIR", self.folder.display().to_string()), ("RELAY_MANAGEMENT", self.doors[i].to_string())];
-        let name = format!("{}-{i}", self.folder.file_name().unwrap().to_str().unwrap());
-        let mut program = Program::start(&name, &self.told.to_string(), &env, false);
+        let mut program = self.spawn(i);
         program.serving().await;
         assert_eq!(call(self.doors[i], "ready\n").await, "ok ready\n");
         program
     }
+
+    fn spawn(&self, i: usize) -> Program {
+        let env =
+            [("TMPDIR", self.folder.display().to_string()), ("RELAY_MANAGEMENT", self.doors[i].to_string())];
+        let name = format!("{}-{i}", self.folder.file_name().unwrap().to_str().unwrap());
+        Program::start(&name, &self.told.to_string(), &env, false)
+    }
 }
 
 #[test]
@@ -170,3 +174,55 @@
         drop(third);
     });
 }
+
+/// The new one takes over some 1 s after its start, when it has waited for a list: before, then and after.
+#[test]
+fn whichever_dies_at_any_moment_the_other_serves() {
+    local(async {
+        for (i, pause) in [0, 3, 10, 40, 400, 1010, 1030, 1060, 1100, 1300].into_iter().enumerate() {
+            let site = Site::new(&format!("any{i}")).await;
+            let mut old = site.start(0).await;
+            assert_eq!(status(&ask(site.at, &board("a", 900, 1)).await), 200);
+            let mut new = site.spawn(1);
+            tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
+            if i % 2 == 0 {
+                new.child.kill().unwrap();
+                new.end().await;
+            } else {
+                old.child.kill().unwrap();
+                old.end().await;
+                new.serving().await;
+            }
+            assert_eq!(status(&ask(site.at, &board("b", 900, 1)).await), 200, "after {pause} ms");
+        }
+    });
+}
+
+#[test]
+fn drains_resumes_and_signals_come_in_any_order() {
+    local(async {
+        let site = Site::new("order").await;
+        let mut program = site.start(0).await;
+        let ready = async || status(&get(site.at, "/ready").await);
+        for calls in [["drain", "HUP", "resume"], ["HUP", "drain", "resume"], ["drain", "resume", "HUP"]] {
+            for what in calls {
+                match what {
+                    "HUP" => program.signal("HUP"),
+                    call_out => {
+                        assert!(call(site.doors[0], &format!("{call_out}\n")).await.starts_with("ok"))
+                    }
+                }
+            }
+            assert_eq!((ready().await, call(site.doors[0], "resume\n").await.as_str()), (200, "ok\n"));
+        }
+        assert_eq!(call(site.doors[0], "drain\n").await, "ok draining\n");
+        let mut client = Client::new(site.at).await;
+        assert_eq!(status(&client.ask(&board("a", 900, 1)).await), 200);
+        program.signal("TERM");
+        program.signal("HUP");
+        program.says("stopping").await;
+        assert_eq!(call(site.doors[0], "resume\n").await, "ok\n");
+        assert_eq!(ready().await, 503, "it ends all the same");
+        assert!(program.end().await.success());
+    });
+}
