--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -2,10 +2,8 @@
 
 use clap::{Args, Parser, Subcommand};
 use std::process::ExitCode;
-use weldhub::Settings;
-use weldhub::interface::{Class as Kind, ColdStart, Effect as Repeat, GatewayId, Group, Plan, ZoneId};
-use weldhub_client::{Care, Effect, Manner};
-use weldhub_load::model::{Fleet, Outage, play};
+use weldhub_client::{Care, Manner};
+use weldhub_load::model::{Fleet, Outage, play, settings};
 use weldhub_load::report::Report;
 use weldhub_load::run::run;
 use weldhub_load::work::{Class, Step, Work};
@@ -115,39 +113,6 @@
     }
 }
 
-fn settings(gateways: u16, quota: &[f64], work: &Work) -> Settings {
-    let kind = |class: &Class| Kind {
-        aim: f64::from(class.timeout) / 2.0,
-        effect: match class.effect {
-            Effect::Safe => Repeat::Safe,
-            Effect::Keyed { window } => Repeat::Keyed { group: Group::All, window },
-            Effect::Unsafe => Repeat::Unsafe,
-        },
-    };
-    let quota = |i: usize| quota.get(i).copied().unwrap_or(1e6);
-    Settings {
-        me: GatewayId(0),
-        gateways,
-        zone: ZoneId(0),
-        classes: work.classes.iter().map(kind).collect(),
-        plans: vec![Plan { rate: quota(0), burst: quota(1), ..Plan::default() }],
-        largest: f64::from(work.units),
-        settles: false,
-        meter_period: 0.0,
-        counter: false,
-        counter_timeout: 50.0,
-        peers: gateways > 1,
-        mail_per_second: 60.0,
-        max_attempts: 4,
-        second_copies: false,
-        cancelling: true,
-        max_retry_after: 1000.0,
-        list_on_request: false,
-        cold: ColdStart { from: 0.25, warm_after: 18_000.0, fall_multiple: 2.0, fall_window: 3000.0 },
-        zone_price: false,
-    }
-}
-
 fn carried_out(command: Command) -> Result<(Report, bool), String> {
     match command {
         Command::Run { ingresses, clients, work } => {
--- a/load/src/model.rs
+++ b/load/src/model.rs
@@ -2,17 +2,18 @@
 //! sockets, servers and the network are a few lines each. A run is the same again from the same seed.
 
 use crate::report::{End, Report};
-use crate::work::{Arrival, Work};
+use crate::work::{Arrival, Class, Work};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use weldhub::interface::{
-    AttemptEnd, AttemptNo, CellId, ClassId, CustomerId, GatewayId, KindId, ListKind, Load, Outcome, PlanId,
-    RequestId, ServerEntry, ServerId, ServerState, TimerKey, ZoneId,
+    AttemptEnd, AttemptNo, CellId, Class as Kind, ClassId, ColdStart, CustomerId, Effect as Repeat,
+    GatewayId, Group, KindId, ListKind, Load, Outcome, Plan, PlanId, RequestId, ServerEntry, ServerId,
+    ServerState, TimerKey, ZoneId,
 };
 use weldhub::{Action, Event, Limiter, Settings};
 use weldhub_client::ingresses::{Ingresses, Went};
 use weldhub_client::policy::{Budget, Call, Ended, Next};
-use weldhub_client::{Care, Manner};
+use weldhub_client::{Care, Effect, Manner};
 
 /// A time during which an ingress is down.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -118,6 +119,40 @@
 /// The limiter's clock begins here: it is that of the day.
 const EPOCH: f64 = 1.7e12;
 
+/// The settings of so many ingresses for some work, each customer with so many units a second and at once.
+pub fn settings(gateways: u16, quota: &[f64], work: &Work) -> Settings {
+    let kind = |class: &Class| Kind {
+        aim: f64::from(class.timeout) / 2.0,
+        effect: match class.effect {
+            Effect::Safe => Repeat::Safe,
+            Effect::Keyed { window } => Repeat::Keyed { group: Group::All, window },
+            Effect::Unsafe => Repeat::Unsafe,
+        },
+    };
+    let quota = |i: usize| quota.get(i).copied().unwrap_or(1e6);
+    Settings {
+        me: GatewayId(0),
+        gateways,
+        zone: ZoneId(0),
+        classes: work.classes.iter().map(kind).collect(),
+        plans: vec![Plan { rate: quota(0), burst: quota(1), ..Plan::default() }],
+        largest: f64::from(work.units),
+        settles: false,
+        meter_period: 0.0,
+        counter: false,
+        counter_timeout: 50.0,
+        peers: gateways > 1,
+        mail_per_second: 60.0,
+        max_attempts: 4,
+        second_copies: false,
+        cancelling: true,
+        max_retry_after: 1000.0,
+        list_on_request: false,
+        cold: ColdStart { from: 0.25, warm_after: 18_000.0, fall_multiple: 2.0, fall_window: 3000.0 },
+        zone_price: false,
+    }
+}
+
 /// Plays the work.
 pub fn play(work: &Work, fleet: &Fleet) -> Result<Report, String> {
     work.check()?;
--- a/load/tests/model.rs
+++ b/load/tests/model.rs
@@ -1,9 +1,8 @@
 //! The model: the same again from a seed, and what clients do together when ingresses restart.
 
 use weldhub::Settings;
-use weldhub::interface::{Class, ColdStart, Effect as Repeat, GatewayId, Group, Plan, ZoneId};
 use weldhub_client::{Care, Manner};
-use weldhub_load::model::{Fleet, Outage, play};
+use weldhub_load::model::{Fleet, Outage, play, settings};
 use weldhub_load::report::{End, INTERVAL, Report};
 use weldhub_load::work::Work;
 
@@ -23,30 +22,10 @@
 }
 
 fn fleet(naive: bool) -> Fleet {
-    let class = |effect| Class { aim: 750.0, effect };
     let hasty = Manner { tries: 100, ratio: 1e6, saved: 1e6, ..Manner::default() };
     Fleet {
-        settings: Settings {
-            me: GatewayId(0),
-            gateways: 3,
-            zone: ZoneId(0),
-            classes: vec![class(Repeat::Safe), class(Repeat::Keyed { group: Group::All, window: 6000.0 })],
-            plans: vec![Plan { rate: 1e6, burst: 1e6, ..Plan::default() }],
-            largest: 1.0,
-            settles: false,
-            meter_period: 0.0,
-            counter: false,
-            counter_timeout: 50.0,
-            peers: false,
-            mail_per_second: 0.0,
-            max_attempts: 4,
-            second_copies: false,
-            cancelling: true,
-            max_retry_after: 1000.0,
-            list_on_request: false,
-            cold: ColdStart { from: 0.25, warm_after: 18_000.0, fall_multiple: 2.0, fall_window: 3000.0 },
-            zone_price: false,
-        },
+        // What ingresses tell each other is not what is looked at here.
+        settings: Settings { peers: false, ..settings(3, &[1e6, 1e6], &work("1x1")) },
         servers: 20,
         cores: 8,
         service: 40.0,
