--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,8 @@
 //! JSON, an operator's TOML and the simulator's text all become pairs of path and value first.
 
 use crate::interface::{Class, ColdStart, Effect, GatewayId, Group, Millis, Plan, Settings, ZoneId};
+use crate::management::CALLERS;
+use crate::membership::Manner;
 use crate::net::discovery::List;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
@@ -260,6 +262,8 @@
     pub seed: u64,
     /// Limits that the machine sets.
     pub limits: Limits,
+    /// Where operators call, if they may.
+    pub management: Option<SocketAddr>,
     /// Where messages of peers arrive.
     pub peer_listen: Option<SocketAddr>,
     /// The peers, this instance included, by their numbers.
@@ -280,11 +284,13 @@
             Some(seed) => u64::from_str_radix(&seed, 16).map_err(|_| unreadable("seed", &seed))?,
             None => RandomState::new().hash_one(std::process::id()),
         };
+        let management = pairs.get("management")?;
         let this = Self {
             name: pairs.need("name")?,
             listen: pairs.need("listen")?,
             seed,
-            limits: Limits::read(pairs, "limits")?,
+            limits: Limits::read(pairs, "limits")?.less(management.map_or(0, |_| DOOR)),
+            management,
             peer_listen: pairs.get("peer_listen")?,
             peers: pairs.list("peers")?,
             counter: pairs.get("counter")?,
@@ -334,6 +340,8 @@
 /// Descriptors kept for the listener, discovery, the counter, peers, signals, the log and the runtime, each of them
 /// twice while one takes another's place.
 const RESERVE: usize = 16;
+/// Those kept for operators: the door, its callers, and what a change of processes takes.
+const DOOR: usize = CALLERS + 4;
 /// Of the others client connections get the first share, those whose flows are turned away the second, connections
 /// to real servers the third. Clients hold at most a third of all for flows: there is room for those, for others
 /// beside them, and for a connection to a real server for each.
@@ -358,6 +366,11 @@
         Ok(Self { memory_mb, sockets: at_least("sockets", USUAL.sockets, LEAST.sockets)? })
     }
 
+    /// Without so many descriptors that are kept for something else.
+    fn less(self, descriptors: usize) -> Self {
+        Self { sockets: self.sockets.saturating_sub(descriptors).max(LEAST.sockets / 2), ..self }
+    }
+
     /// The most connections of clients, of such to be turned away, and to real servers: what descriptors and a
     /// third of the memory allow.
     pub fn connections(&self) -> [usize; 3] {
@@ -419,9 +432,12 @@
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let json: Value = serde_json::from_str(text).map_err(|e| ConfigError(format!("not JSON: {e}")))?;
         let mut pairs = Pairs::from_json(&json);
-        for (name, key) in
-            [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")]
-        {
+        for (name, key) in [
+            ("RELAY_NAME", "name"),
+            ("RELAY_LISTEN", "listen"),
+            ("RELAY_DISCOVERY", "discovery"),
+            ("RELAY_MANAGEMENT", "management"),
+        ] {
             if let Some(value) = env(name) {
                 pairs.0.insert(key.to_owned(), value);
             }
@@ -438,6 +454,14 @@
 pub struct Consul {
     /// The agent.
     pub address: SocketAddr,
+    /// Agents that are asked where that one fails, one after the other.
+    pub others: Vec<SocketAddr>,
+    /// Stale reads are taken up to this age; none where only the leader's word counts.
+    pub max_stale: Option<Millis>,
+    /// What goes with every query: datacenter, namespace and filter.
+    pub narrowed: String,
+    /// How flaps and withdrawals are met.
+    pub manner: Manner,
     /// The authorisers' service.
     pub service: String,
     /// How long a blocking query may block.
@@ -502,6 +526,12 @@
     pub authz: Authz,
 }
 
+/// A value as a query holds it.
+fn escaped(value: &str) -> String {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.~".contains(&b);
+    value.bytes().map(|b| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") }).collect()
+}
+
 /// How old a caller's connection may become where the file says nothing.
 const CONNECTION_AGE: Millis = 60_000.0;
 /// The longest that a blocking query blocks where the file says nothing.
@@ -551,8 +581,34 @@
         if service.is_empty() || !service.bytes().all(plain) {
             return Err(unreadable("consul.service", &service));
         }
+        let mut narrowed = String::new();
+        for (key, name) in [("datacenter", "dc"), ("namespace", "ns"), ("filter", "filter")] {
+            if let Some(value) = pairs.get::<String>(&format!("consul.{key}"))? {
+                narrowed.push_str(&format!("&{name}={}", escaped(&value)));
+            }
+        }
+        let usual = Manner::default();
+        let manner = Manner {
+            hold: [
+                pairs.positive("consul.flap_hold_ms", usual.hold[0])?,
+                pairs.positive("consul.flap_hold_most_ms", usual.hold[1])?,
+            ],
+            share: pairs.get("consul.withdrawal_share")?.unwrap_or(usual.share),
+            ..usual
+        };
+        if !(0.0..=1.0).contains(&manner.share) {
+            return Err(ConfigError("consul.withdrawal_share must lie between 0 and 1".into()));
+        }
+        let max_stale = match pairs.get::<Millis>("consul.max_stale_ms")? {
+            Some(_) => Some(pairs.positive("consul.max_stale_ms", 1.0)?),
+            None => None,
+        };
         let consul = Consul {
             address: pairs.need("consul.address")?,
+            others: pairs.list("consul.others")?,
+            max_stale,
+            narrowed,
+            manner,
             service,
             wait: pairs.positive("consul.wait_ms", CONSUL_WAIT)?,
             token: env("CONSUL_HTTP_TOKEN"),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -2,12 +2,13 @@
 //! it that every flow gets one final answer, before its deadline.
 
 use crate::deadlines::{Deadlines, Due, Key};
-use crate::exchange::{Call, News, Order, Report, Verdict};
+use crate::exchange::{Call, Estate, News, Operation, Order, Report, Standing, Verdict};
 use crate::interface::*;
+use crate::maintenance::Maintenance;
 use crate::net::discovery::List;
 use crate::state::Limiter;
 use slog::{Logger, debug, info, warn};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use tokio::sync::{mpsc, oneshot};
 
 /// Before a flow's deadline its schedulings end, so that the decisions can still answer ...
@@ -24,6 +25,8 @@
     pub orders: mpsc::UnboundedSender<Order<Q>>,
     /// To the counter, where there is one.
     pub counter: Option<mpsc::UnboundedSender<Call>>,
+    /// To the process that decides in place of this one, how its attempts end.
+    pub successor: mpsc::UnboundedSender<AttemptEnd>,
     /// To the peers, where messages are allowed.
     pub peers: Option<mpsc::UnboundedSender<(GatewayId, Vec<u8>)>>,
 }
@@ -46,6 +49,8 @@
     no: AttemptNo,
     server: ServerId,
     sent: Millis,
+    /// When its answer began to pass on.
+    began: Option<Millis>,
     deadline: Key,
 }
 
@@ -54,6 +59,8 @@
     question: Q,
     /// Whom to answer; gone once it is over.
     client: Option<oneshot::Sender<Verdict<A>>>,
+    /// How long the client waits once its body has come; none where it has.
+    uploads: Option<Millis>,
     /// When the last scheduling ends.
     until: Millis,
     guard: Key,
@@ -62,6 +69,14 @@
     timed_out: bool,
 }
 
+/// The longest time that a flow's body may take; the server side ends those that stall long before.
+const UPLOAD: Millis = 3_600_000.0;
+
+/// When a flow's schedulings end, and when the flow does, if a client waits for so long.
+fn parts(left: Millis) -> [Millis; 2] {
+    [SLACK, GUARD].map(|slack| left - slack.min(left * SLACK_PART))
+}
+
 /// So often the log tells what became of the flows.
 const TALLY: Millis = 10_000.0;
 
@@ -80,6 +95,7 @@
 /// The engine of one ingress.
 pub struct Engine<Q, A> {
     limiter: Limiter,
+    maintenance: Maintenance,
     deadlines: Deadlines,
     news: mpsc::UnboundedReceiver<News<Q, A>>,
     outlets: Outlets<Q>,
@@ -91,13 +107,19 @@
     /// Events that actions bring about at once.
     own: VecDeque<Event>,
     tally: Tally,
+    /// Another process decides.
+    retired: bool,
+    /// Attempts that are out at a process before.
+    elsewhere: BTreeMap<(RequestId, AttemptNo), ServerId>,
+    /// Discovery has told a list.
+    told: bool,
     log: Logger,
 }
 
 impl<Q: Clone, A> Engine<Q, A> {
-    /// An engine round a limiter.
+    /// An engine round a limiter, with the bans that hold.
     pub fn new(
-        limiter: Limiter,
+        (limiter, maintenance): (Limiter, Maintenance),
         deadlines: Deadlines,
         news: mpsc::UnboundedReceiver<News<Q, A>>,
         outlets: Outlets<Q>,
@@ -106,7 +128,24 @@
     ) -> Self {
         let now = deadlines.clock().now();
         let (flows, calls, own, tally) = Default::default();
-        Self { limiter, deadlines, news, outlets, bounds, flows, calls, next_call: 0, now, own, tally, log }
+        Self {
+            limiter,
+            maintenance,
+            deadlines,
+            news,
+            outlets,
+            bounds,
+            flows,
+            calls,
+            next_call: 0,
+            now,
+            own,
+            tally,
+            retired: false,
+            elsewhere: BTreeMap::new(),
+            told: false,
+            log,
+        }
     }
 
     /// Starts from the list that was known last, if any, and runs until every way in is closed.
@@ -158,12 +197,13 @@
                 if self.flows.len() >= self.bounds.flows {
                     return self.answer(client, Verdict::NoRoom(self.bounds.retry_after));
                 }
-                let part = |slack: Millis| terms.left - slack.min(terms.left * SLACK_PART);
-                let left = part(SLACK);
-                let guard = self.deadlines.add(self.now + part(GUARD), Due::Flow(id));
+                let uploads = terms.uploads.then_some(terms.left);
+                let [left, last] = parts(if terms.uploads { UPLOAD } else { terms.left });
+                let guard = self.deadlines.add(self.now + last, Due::Flow(id));
                 let (client, until) = (Some(client), self.now + left);
-                let (out, timed_out) = (Vec::new(), false);
-                self.flows.insert(id, Flow { question, client, until, guard, started: 0, out, timed_out });
+                let (out, started, timed_out) = (Vec::new(), 0, false);
+                let flow = Flow { question, client, uploads, until, guard, started, out, timed_out };
+                self.flows.insert(id, flow);
                 self.feed(Event::Request(Request {
                     id,
                     class: terms.class,
@@ -183,8 +223,11 @@
                     self.feed(Event::ClientLeft(id));
                 }
             }
+            News::Uploaded(id) => self.uploaded(id),
+            News::Began(id, no, answer) => self.began((id, no), answer),
             News::Ended(report) => self.ended(report),
             News::Listed(list) => {
+                self.told = true;
                 let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
                 self.listed(list, kind);
             }
@@ -195,10 +238,82 @@
                     self.feed(Event::Counted(name, answer));
                 }
             }
+            News::HandOver(reply) => {
+                self.retired = true;
+                let (list, bans) = (self.maintenance.told(), self.maintenance.bans());
+                let _ = reply.send(Estate { limiter: self.limiter.hand_over(), bans, list });
+            }
+            News::TakeBack => {
+                self.retired = false;
+                self.limiter.take_back();
+            }
+            News::Inherit(estate, reply) => {
+                self.inherit(estate);
+                let _ = reply.send(());
+            }
+            News::EndedElsewhere(end) => self.ended_elsewhere(end),
+            News::Orphaned => {
+                for ((request, attempt), server) in std::mem::take(&mut self.elsewhere) {
+                    let end = (Outcome::Cancelled, 0.0);
+                    self.feed(attempt_ended((request, attempt), server, end, true, Load::default()));
+                }
+            }
+            News::Operate(operation, reply) => {
+                // Whoever asked has its answer after all that follows is carried out.
+                let done = self.operate(operation);
+                let _ = reply.send(done);
+            }
         }
     }
 
+    /// Goes on from what another process knew. What cannot be read leaves this one as after a restart.
+    fn inherit(&mut self, estate: Estate) {
+        self.maintenance.ban_only(estate.bans);
+        match self.limiter.inherit(&estate.limiter) {
+            Ok(out) => {
+                self.elsewhere =
+                    out.into_iter().map(|(request, no, server)| ((request, no), server)).collect();
+                info!(self.log, "took over"; "attempts_out" => self.elsewhere.len());
+            }
+            Err(why) => warn!(self.log, "what the old process knew was passed over"; "why" => why),
+        }
+        if !self.told && !estate.list.entries.is_empty() {
+            self.maintenance.listed(estate.list);
+        }
+        let mut list = self.maintenance.told();
+        if !list.entries.is_empty() {
+            list = self.maintenance.listed(list);
+            self.believe(list, ListKind::Full);
+        }
+    }
+
+    fn ended_elsewhere(&mut self, end: AttemptEnd) {
+        if self.elsewhere.remove(&(end.request, end.attempt)).is_some() {
+            if self.retired {
+                let _ = self.outlets.successor.send(end);
+            }
+            self.feed(Event::AttemptEnded(AttemptEnd { closed: true, ..end }));
+        }
+    }
+
+    fn operate(&mut self, operation: Operation) -> Result<Standing, &'static str> {
+        let change = match operation {
+            Operation::Look => None,
+            Operation::Disable(name) => self.maintenance.disable(&name)?,
+            Operation::Enable(name) => self.maintenance.enable(&name)?,
+        };
+        if let Some(change) = change {
+            self.believe(change, ListKind::Changes);
+        }
+        Ok(Standing { members: self.limiter.members(self.now), bans: self.maintenance.bans() })
+    }
+
     fn listed(&mut self, list: List, kind: ListKind) {
+        let list = self.maintenance.listed(list);
+        self.believe(list, kind);
+    }
+
+    fn believe(&mut self, list: List, kind: ListKind) {
         let entries = list.entries.iter().map(|e| e.entry).collect();
         // The client side learns it first: nothing that waits there starts on a drained real server.
         self.order(Order::List(list));
@@ -263,6 +378,32 @@
         Some(client)
     }
 
+    /// A flow's body has come: its time runs from now on.
+    fn uploaded(&mut self, id: RequestId) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some([left, last]) = flow.uploads.take().map(parts) else { return };
+        self.deadlines.remove(flow.guard);
+        flow.guard = self.deadlines.add(self.now + last, Due::Flow(id));
+        flow.until = self.now + left;
+        for s in &mut flow.out {
+            self.deadlines.remove(s.deadline);
+            s.deadline = self.deadlines.add(flow.until, Due::Scheduling(id, s.no));
+            s.sent = self.now;
+        }
+    }
+
+    /// A scheduling's answer passes on: the client has it, and no time is set for its end.
+    fn began(&mut self, (id, no): (RequestId, AttemptNo), answer: A) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some(s) = flow.out.iter_mut().find(|s| s.no == no) else { return };
+        self.deadlines.remove(s.deadline);
+        s.began = Some(self.now);
+        if let Some(client) = self.close(id) {
+            self.answer(client, Verdict::Served(answer));
+        }
+        self.feed(Event::StreamStarted(id, no));
+    }
+
     fn ended(&mut self, report: Report<A>) {
         let Report { flow: id, no, mut outcome, load, answer } = report;
         let Some(flow) = self.flows.get_mut(&id) else { return };
@@ -276,12 +417,16 @@
                     self.answer(client, Verdict::Served(answer));
                 }
             }
-            None if outcome == Outcome::Served => outcome = Outcome::Error,
+            None if outcome == Outcome::Served && ended.began.is_none() => outcome = Outcome::Error,
             _ => {}
         }
         let closed = self.flows.get(&id).is_none_or(|flow| flow.client.is_none());
-        let spent = self.now - ended.sent;
-        self.feed(attempt_ended((id, no), ended.server, (outcome, spent), closed, load));
+        let spent = ended.began.unwrap_or(self.now) - ended.sent;
+        let end = attempt_ended((id, no), ended.server, (outcome, spent), closed, load);
+        if let (true, Event::AttemptEnded(end)) = (self.retired, &end) {
+            let _ = self.outlets.successor.send(*end);
+        }
+        self.feed(end);
         if self.flows.get(&id).is_some_and(|flow| flow.client.is_none() && flow.out.is_empty()) {
             self.flows.remove(&id);
         }
@@ -308,14 +453,15 @@
                 self.own.push_back(Event::ProbeEnded(server, Outcome::Moot, Load::default()));
             }
             Action::Tell(to, bytes) => {
-                if let Some(peers) = &self.outlets.peers {
+                if let Some(peers) = self.outlets.peers.as_ref().filter(|_| !self.retired) {
                     let _ = peers.send((to, bytes));
                 }
             }
             Action::Count(name, amount, keep) => {
                 self.next_call += 1;
                 let call = Call { seq: self.next_call, name, amount, keep };
-                let sent = self.outlets.counter.as_ref().is_some_and(|counter| counter.send(call).is_ok());
+                let counter = self.outlets.counter.as_ref().filter(|_| !self.retired);
+                let sent = counter.is_some_and(|counter| counter.send(call).is_ok());
                 if sent {
                     self.calls.insert(call.seq, name);
                     self.deadlines.add(self.now + self.bounds.counter_timeout, Due::Call(call.seq));
@@ -338,7 +484,9 @@
         };
         let no = AttemptNo(flow.started);
         flow.started += 1;
-        let wait = wait.unwrap_or(f64::INFINITY).min(flow.until - self.now);
+        // Patience is for answers: while a body still comes, nothing is late.
+        let wait = wait.filter(|_| flow.uploads.is_none()).unwrap_or(f64::INFINITY);
+        let wait = wait.min(flow.until - self.now);
         if flow.client.is_none() || no.0 >= self.bounds.schedulings || wait <= 0.0 {
             let (closed, load) = (flow.client.is_none(), Load::default());
             self.own.push_back(attempt_ended((id, no), server, (Outcome::Moot, 0.0), closed, load));
@@ -347,8 +495,13 @@
         self.tally.schedulings += 1;
         self.tally.retried += u64::from(no.0 > 0);
         let deadline = self.deadlines.add(self.now + wait, Due::Scheduling(id, no));
-        flow.out.push(Scheduling { no, server, sent: self.now, deadline });
+        flow.out.push(Scheduling { no, server, sent: self.now, began: None, deadline });
         let question = flow.question.clone();
+        let wait = flow.uploads.unwrap_or(wait);
+        if flow.uploads.is_some() {
+            // The real server has no work with it until its body has come.
+            self.own.push_back(Event::StreamStarted(id, no));
+        }
         self.order(Order::Start { flow: id, no, server, question, wait });
     }
 }
@@ -404,10 +557,18 @@
         let (exchange, news) = Exchange::new();
         let (order, orders) = mpsc::unbounded_channel();
         let (call, calls) = mpsc::unbounded_channel();
-        let outlets = Outlets { orders: order, counter: Some(call), peers: None };
+        let successor = mpsc::unbounded_channel().0;
+        let outlets = Outlets { orders: order, counter: Some(call), successor, peers: None };
         let bounds = Bounds { flows, schedulings: 2, counter_timeout: 10.0, retry_after: 700.0 };
         let log = Logger::root(slog::Discard, slog::o!());
-        let engine = Engine::new(limiter, Deadlines::new(Clock::new()), news, outlets, bounds, log);
+        let engine = Engine::new(
+            (limiter, Maintenance::default()),
+            Deadlines::new(Clock::new()),
+            news,
+            outlets,
+            bounds,
+            log,
+        );
         let entry = ServerEntry {
             server: server_id("s1"),
             state: ServerState::Ready,
@@ -426,8 +587,10 @@
         fn ask(&self, left: Millis, units: f64) -> Waiting<(), u32> {
             let (class, plan, customer) = (ClassId(0), PlanId(0), CustomerId(5));
             let first = GatewayId(0);
-            self.exchange
-                .arrive(Terms { class, plan, customer, left, units, spread: 2, first, repeat: false }, ())
+            self.exchange.arrive(
+                Terms { class, plan, customer, left, units, spread: 2, first, repeat: false, uploads: false },
+                (),
+            )
         }
 
         /// The next order that is no list.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,6 +3,8 @@
 
 use crate::interface::*;
 use crate::net::discovery::List;
+use crate::stats::{End, Members};
+use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -29,6 +31,8 @@
     pub first: GatewayId,
     /// The client says that it has asked for this before.
     pub repeat: bool,
+    /// Its body still comes: `left` runs from that one's last byte, and it can be sent once only.
+    pub uploads: bool,
 }
 
 /// The final answer of a flow.
@@ -47,6 +51,17 @@
     },
 }
 
+impl<A> Verdict<A> {
+    /// What it counts as.
+    pub fn end(&self) -> End {
+        match self {
+            Self::Served(_) => End::Completed,
+            Self::TurnDown(_) | Self::NoRoom(_) => End::Rejected,
+            Self::Failed { .. } => End::Failed,
+        }
+    }
+}
+
 /// How a scheduling ended.
 #[derive(Debug)]
 pub struct Report<A> {
@@ -69,6 +84,10 @@
     Arrived(RequestId, Terms, Q, oneshot::Sender<Verdict<A>>),
     /// Its client has left.
     Left(RequestId),
+    /// The last byte of a flow's body has come.
+    Uploaded(RequestId),
+    /// A scheduling's answer has begun to pass on: it is the flow's, however it ends.
+    Began(RequestId, AttemptNo, A),
     /// A scheduling has ended.
     Ended(Report<A>),
     /// Service entries.
@@ -77,6 +96,49 @@
     Heard(GatewayId, Vec<u8>),
     /// The counter answered a call.
     Counted(u64, CounterAnswer),
+    /// Another process is to decide from now on: it is owed what is known.
+    HandOver(oneshot::Sender<Estate>),
+    /// That process is gone: this one decides again.
+    TakeBack,
+    /// What another process knew, which has stopped deciding.
+    Inherit(Estate, oneshot::Sender<()>),
+    /// An attempt of that process has ended.
+    EndedElsewhere(AttemptEnd),
+    /// That process is gone: so are its attempts.
+    Orphaned,
+    /// An operator wants something, and is owed an answer.
+    Operate(Operation, oneshot::Sender<Result<Standing, &'static str>>),
+}
+
+/// What an engine knows.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Estate {
+    /// The limiter.
+    pub limiter: Vec<u8>,
+    /// The real servers that are out by hand.
+    pub bans: Vec<String>,
+    /// The list, as it was told.
+    pub list: List,
+}
+
+/// What an operator may want of the engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Operation {
+    /// To see how things stand.
+    Look,
+    /// To take the real server of this name out.
+    Disable(String),
+    /// To put it back.
+    Enable(String),
+}
+
+/// How things stand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// The real servers.
+    pub members: Members,
+    /// The names of those that are out by hand.
+    pub bans: Vec<String>,
 }
 
 /// What the engine wants of the client side, in order.
@@ -130,8 +192,13 @@
 impl<Q, A> Exchange<Q, A> {
     /// An exchange and the engine's end of it.
     pub fn new() -> (Self, mpsc::UnboundedReceiver<News<Q, A>>) {
+        Self::from(0)
+    }
+
+    /// One whose flows are numbered from here on.
+    pub fn from(first: u64) -> (Self, mpsc::UnboundedReceiver<News<Q, A>>) {
         let (inbox, news) = mpsc::unbounded_channel();
-        (Self { inbox, next: Arc::default() }, news)
+        (Self { inbox, next: Arc::new(AtomicU64::new(first)) }, news)
     }
 
     /// Tells the engine something; once the engine is gone nothing matters any more.
@@ -157,6 +224,13 @@
     over: bool,
 }
 
+impl<Q, A> Waiting<Q, A> {
+    /// The last byte of the flow's body has come.
+    pub fn uploaded(&self) {
+        self.exchange.tell(News::Uploaded(self.flow));
+    }
+}
+
 impl<Q, A> Future for Waiting<Q, A> {
     type Output = Verdict<A>;
 
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -1,15 +1,18 @@
 //! The client side: carries schedulings to real servers over pools of connections, one at a time on each, and
 //! reports how each ended, once. Nothing is ever sent a second time here.
 
-use super::budget::Budget;
-use super::http::{Bad, Head, Kind, MESSAGE, Message, take_message};
-use super::schedulings::{Ending, Job, Pool, Schedulings, Stage};
+use super::budget::{Budget, Elsewhere};
+use super::http::{BODY, Bad, Body, Head, Kind, MESSAGE, peek_head};
+use super::pieces::{self, Once, PIECE, Piece, Pieces};
+use super::schedulings::{Ending, Id, Job, Pool, Schedulings, Stage};
+use super::server_side::Role;
 use super::stream::{connect, read_more};
 use crate::config::Site;
 use crate::deadlines::Deadlines;
 use crate::exchange::{Exchange, Order};
 use crate::interface::*;
-use bytes::{Bytes, BytesMut};
+use crate::stats::Stats;
+use bytes::{BufMut, Bytes, BytesMut};
 use slog::{Logger, debug};
 use socket2::SockRef;
 use std::cell::Cell;
@@ -18,30 +21,45 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::io::AsyncWriteExt;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 
 /// An idle connection is closed after this part of the time after which a real server may close it.
 const IDLE_PART: f64 = 0.8;
+/// An answer whose length is not told is taken whole if it comes within this, or else passes on as it comes.
+const PATIENCE: Millis = 150.0;
+/// An answer that passes on and brings nothing for so long has broken off.
+const SILENT: Millis = 15_000.0;
 
 /// What is asked of a real server: the head up to its last fields, and the body.
 #[derive(Debug, Clone)]
 pub struct Question {
     /// Request line and the fields that pass on, each line with its end.
     pub head: Bytes,
-    /// The body.
+    /// The body, or what has come of it.
     pub body: Bytes,
+    /// The answer has no body, whatever its head says: it is to HEAD.
+    pub bodiless: bool,
+    /// Its rest has no length told ahead: it goes on in chunks.
+    pub chunked: bool,
+    /// What is still to come of the body.
+    pub rest: Option<Once>,
 }
 
 /// A real server's answer.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Answer {
-    /// Its body, as it came.
+    /// Its body, as it came, or the first of it.
     pub body: Bytes,
     /// What the body is.
     pub content_type: Option<Bytes>,
+    /// How long the body is, where that is told.
+    pub length: Option<usize>,
+    /// What is still to come of the body.
+    pub rest: Option<Pieces>,
 }
 
 type Flows = Exchange<Question, Answer>;
@@ -49,14 +67,28 @@
 /// The ways to idle connections; once one is dropped, its connection is closed.
 type Idle = Vec<oneshot::Sender<Work>>;
 
+/// What passes between processes at one address.
+#[derive(Debug)]
+pub struct Links {
+    /// Whether this process decides.
+    pub role: watch::Receiver<Role>,
+    /// Where idle connections go that another process is to have.
+    pub passing: mpsc::UnboundedSender<(ServerId, TcpStream)>,
+    /// What another process has still open.
+    pub elsewhere: Elsewhere,
+    /// What is open here.
+    pub open: Rc<Cell<usize>>,
+}
+
 #[derive(Debug)]
 struct Inner {
     schedulings: Schedulings<Question, Answer, Idle>,
-    open: Cell<usize>,
+    links: Links,
     most: usize,
     budget: Budget,
     deadlines: Deadlines,
     site: Site,
+    stats: Arc<Stats>,
     log: Logger,
 }
 
@@ -71,15 +103,31 @@
         deadlines: Deadlines,
         site: Site,
         (most, budget): (usize, Budget),
+        stats: Arc<Stats>,
+        links: Links,
         log: Logger,
     ) -> Self {
-        let (schedulings, open) = (Schedulings::new(exchange), Cell::new(0));
-        Self(Rc::new(Inner { schedulings, open, most, budget, deadlines, site, log }))
+        let schedulings = Schedulings::new(exchange);
+        Self(Rc::new(Inner { schedulings, links, most, budget, deadlines, site, stats, log }))
     }
 
     /// Carries out orders until there are no more.
-    pub async fn run(self, orders: mpsc::UnboundedReceiver<Order<Question>>) {
-        self.0.schedulings.run(orders, |server, job| Inner::start(&self.0, server, job)).await;
+    pub async fn run(
+        self,
+        orders: mpsc::UnboundedReceiver<Order<Question>>,
+        mut passed: mpsc::UnboundedReceiver<(ServerId, TcpStream)>,
+    ) {
+        let adopting = async {
+            while let Some((server, stream)) = passed.recv().await {
+                Inner::adopt(&self.0, server, stream);
+            }
+            std::future::pending().await
+        };
+        let orders = self.0.schedulings.run(orders, |server, job| Inner::start(&self.0, server, job));
+        tokio::select! {
+            () = orders => {}
+            () = adopting => {}
+        }
     }
 }
 
@@ -97,13 +145,24 @@
             }
         }
         let at = pool.at;
-        if this.open.get() >= this.most && !evict(&mut pools) {
+        // What another process still holds counts here, too, but must not take all.
+        let most = this.most - this.links.elsewhere.get().min(this.most * 3 / 4);
+        if this.links.open.get() >= most && !evict(&mut pools) {
             debug!(this.log, "no descriptor for a connection to a real server"; "real_server" => %at);
             // Prevents a real server from being taken for unreachable, or full, for want of room here.
             return this.schedulings.ended(job.id, Ending::badly(Outcome::Moot));
         }
-        this.open.set(this.open.get() + 1);
-        spawn_local(connection(Open(this.clone()), server, at, job));
+        spawn_local(connection(Open::new(this), server, at, job));
+    }
+
+    /// Keeps an idle connection that another process had.
+    fn adopt(this: &Rc<Self>, server: ServerId, stream: TcpStream) {
+        let at = this.schedulings.pools.borrow().get(&server).map(|pool| pool.at);
+        if let Some(at) = at.filter(|at| stream.peer_addr().is_ok_and(|peer| peer == *at))
+            && let Some(next) = this.park(server, at)
+        {
+            spawn_local(life(Open::new(this), (server, at), stream, Then::Wait(next)));
+        }
     }
 
     /// Puts a connection by for the next job; none where its real server is not to have any.
@@ -126,12 +185,22 @@
 /// An open connection's share in the count.
 struct Open(Rc<Inner>);
 
+impl Open {
+    fn new(side: &Rc<Inner>) -> Self {
+        side.links.open.set(side.links.open.get() + 1);
+        Self(side.clone())
+    }
+}
+
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.0.links.open.set(self.0.links.open.get() - 1);
     }
 }
 
+/// A job as a connection carries it: which, what to ask, how long the engine waits, and how far it has come.
+type Carried<'a> = (Id, &'a Question, Millis, &'a Cell<Stage>);
+
 /// How a job went on a connection, and whether that can carry another.
 type Went = (Ending<Answer>, bool);
 
@@ -139,7 +208,19 @@
     (Ending::badly(outcome), false)
 }
 
-/// A connection's life: its first job, and those that come while it is idle.
+/// What follows on a connection.
+enum Then {
+    /// It carries a job.
+    Carry(Work),
+    /// It waits for the next one.
+    Wait(oneshot::Receiver<Work>),
+    /// Another process is to have it.
+    Pass,
+    /// It ends.
+    End,
+}
+
+/// Opens a connection for its first job.
 async fn connection(open: Open, server: ServerId, at: SocketAddr, mut job: Work) {
     let side = open.0.clone();
     let connected = tokio::select! {
@@ -147,44 +228,69 @@
         _ = &mut job.given_up => return,
         connected = side.deadlines.within(side.site.connect_timeout, connect(at)) => connected,
     };
-    let Some(Ok(mut stream)) = connected else {
-        return side.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed));
-    };
+    match connected {
+        Some(Ok(stream)) => life(open, (server, at), stream, Then::Carry(job)).await,
+        _ => side.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed)),
+    }
+}
+
+/// A connection's life: jobs, and the time between them.
+async fn life(open: Open, (server, at): (ServerId, SocketAddr), mut stream: TcpStream, mut then: Then) {
+    let side = open.0.clone();
     let mut buffer = BytesMut::new();
     loop {
-        let id = job.id;
-        let (ending, reusable) = tokio::select! {
-            biased;
-            _ = &mut job.given_up => return,
-            went = side.carry(&mut stream, &mut buffer, at, (&job.question, job.wait, &job.stage)) => went,
+        then = match then {
+            Then::Carry(mut job) => {
+                let carried = (job.id, &job.question, job.wait, &*job.stage);
+                let (ending, reusable) = tokio::select! {
+                    biased;
+                    _ = &mut job.given_up => return,
+                    went = side.carry(&mut stream, &mut buffer, at, &carried) => went,
+                };
+                let next = if reusable { side.park(server, at) } else { None };
+                side.schedulings.ended(job.id, ending);
+                next.map_or(Then::End, Then::Wait)
+            }
+            Then::Wait(next) => wait(&side, server, &mut stream, &mut buffer, next).await,
+            Then::Pass => return drop(side.links.passing.send((server, stream))),
+            Then::End => return,
         };
-        let next = if reusable { side.park(server, at) } else { None };
-        side.schedulings.ended(id, ending);
-        let Some(mut next) = next else { return };
-        tokio::select! {
-            biased;
-            // The real server closes it, or says what nobody asked.
-            _ = read_more(&mut stream, &mut buffer) => {}
-            coming = &mut next => match coming {
-                Ok(coming) if quiet(&stream) => {
-                    job = coming;
-                    continue;
-                }
-                // Prevents what came behind the last answer from being taken for the next flow's.
-                Ok(coming) => return Inner::start(&side, server, coming),
-                Err(_) => return,
-            },
-            () = side.deadlines.sleep(side.site.conn_idle * IDLE_PART) => {}
-        }
-        // A job that was handed over as the connection ended: nothing of it was written.
-        next.close();
-        if let Ok(job) = next.try_recv() {
-            Inner::start(&side, server, job);
-        }
-        return;
     }
 }
 
+/// Waits on an idle connection for the next job that it is to carry.
+async fn wait(
+    side: &Rc<Inner>,
+    server: ServerId,
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    mut next: oneshot::Receiver<Work>,
+) -> Then {
+    let mut role = side.links.role.clone();
+    let then = tokio::select! {
+        biased;
+        // The real server closes it, or says what nobody asked.
+        _ = read_more(stream, buffer) => Then::End,
+        coming = &mut next => return match coming {
+            Ok(coming) if quiet(stream) => Then::Carry(coming),
+            // Prevents what came behind the last answer from being taken for the next flow's.
+            Ok(coming) => {
+                Inner::start(side, server, coming);
+                Then::End
+            }
+            Err(_) => Then::End,
+        },
+        Ok(_) = role.wait_for(|role| *role == Role::Gone) => Then::Pass,
+        () = side.deadlines.sleep(side.site.conn_idle * IDLE_PART) => Then::End,
+    };
+    // A job that was handed over as the connection ended: nothing of it was written.
+    next.close();
+    if let Ok(job) = next.try_recv() {
+        Inner::start(side, server, job);
+    }
+    then
+}
+
 /// Whether nothing has come on an idle connection, asked of the system itself: the runtime may not have seen yet
 /// what came since it last waited.
 fn quiet(stream: &TcpStream) -> bool {
@@ -199,57 +305,239 @@
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         at: SocketAddr,
-        (question, wait, stage): (&Question, Millis, &Cell<Stage>),
+        job: &Carried<'_>,
     ) -> Went {
+        let mut early = false;
+        match self.ask(stream, buffer, at, job).await {
+            Ok(Asked::Whole) => {}
+            Ok(Asked::Early) => early = true,
+            Err(outcome) => return badly(outcome),
+        }
+        let (ending, reusable) = self.hear(stream, buffer, job).await;
+        if early && ending.outcome == Outcome::Served {
+            // Nobody can have made it for a request that had not come.
+            return badly(Outcome::Error);
+        }
+        (ending, reusable && !early)
+    }
+
+    /// Writes a question, to its last byte unless it is answered before.
+    async fn ask(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        at: SocketAddr,
+        (_, question, wait, stage): &Carried<'_>,
+    ) -> Result<Asked, Outcome> {
+        let rest = match &question.rest {
+            // What has gone once is not kept.
+            Some(once) => Some(once.take().ok_or(Outcome::Moot)?),
+            None => None,
+        };
         let wait = wait.max(1.0) as u64;
-        let rest = format!("Host: {at}\r\nRequest-Timeout-Ms: {wait}\r\n\r\n");
-        let mut bytes = BytesMut::with_capacity(question.head.len() + rest.len() + question.body.len());
+        let fields = format!("Host: {at}\r\nRequest-Timeout-Ms: {wait}\r\n\r\n");
+        let chunked = rest.is_some() && question.chunked;
+        let mut bytes =
+            BytesMut::with_capacity(question.head.len() + fields.len() + question.body.len() + 16);
         bytes.extend_from_slice(&question.head);
-        bytes.extend_from_slice(rest.as_bytes());
-        bytes.extend_from_slice(&question.body);
+        bytes.extend_from_slice(fields.as_bytes());
+        frame(&mut bytes, &question.body, chunked);
         stage.set(Stage::Writing);
-        if stream.write_all(&bytes).await.is_err() {
-            return badly(Outcome::ConnectFailed);
-        }
+        let written = stream.write_all(&bytes).await;
         drop(bytes);
+        written.map_err(|_| Outcome::ConnectFailed)?;
+        if let Some(mut rest) = rest {
+            loop {
+                let piece = tokio::select! {
+                    biased;
+                    piece = rest.recv() => piece,
+                    more = read_more(stream, buffer) => match more {
+                        Ok(true) => return Ok(Asked::Early),
+                        _ => return Err(Outcome::ConnectFailed),
+                    },
+                };
+                let mut bytes = BytesMut::new();
+                let last = match &piece {
+                    Some(Piece::Data(data)) => {
+                        frame(&mut bytes, data, chunked);
+                        false
+                    }
+                    Some(Piece::End) => {
+                        bytes.extend_from_slice(if chunked { b"0\r\n\r\n" } else { b"" });
+                        true
+                    }
+                    // Its client has broken off.
+                    None => return Err(Outcome::ConnectFailed),
+                };
+                stream.write_all(&bytes).await.map_err(|_| Outcome::ConnectFailed)?;
+                if last {
+                    break;
+                }
+            }
+        }
         stage.set(Stage::Written);
-        let (mut held, mut read) = (self.budget.hold(), 0);
-        loop {
-            let before = buffer.len();
-            let ended = match read_more(stream, buffer).await {
-                Ok(more) => !more,
-                Err(_) => return badly(Outcome::Reset),
-            };
-            read += buffer.len() - before;
-            match take_message(buffer, Kind::Response, ended) {
-                Ok(Some(message)) => return judge(message, buffer.is_empty(), &self.site),
-                Ok(None) if ended => return badly(Outcome::Reset),
-                // Prevents answers that go on for ever, if only ahead of themselves, from taking time or memory.
-                Ok(None) if read <= MESSAGE && held.grow(buffer.len()) => {}
-                // Garbage, or more than fits: it may have run.
+        self.stats.written();
+        Ok(Asked::Whole)
+    }
+
+    /// Reads an answer: a short one whole, of a long one the first pieces go on while the others come.
+    async fn hear(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        (id, question, ..): &Carried<'_>,
+    ) -> Went {
+        let (mut held, mut ahead) = (self.budget.hold(), 0);
+        let head = loop {
+            match peek_head(buffer, Kind::Response) {
+                // What a server says ahead of its answer is no answer; 101 would leave HTTP, which nobody asked for.
+                Ok(Some((head, length))) if matches!(head.status(), 100 | 102..200) => {
+                    drop(buffer.split_to(length));
+                    ahead += length;
+                    continue;
+                }
+                Ok(Some((head, length))) => {
+                    drop(buffer.split_to(length));
+                    break head;
+                }
+                // Prevents what goes on for ever ahead of an answer from taking time or memory.
+                Ok(None) if ahead <= MESSAGE => {}
+                // Garbage: it may have run.
                 Ok(None) | Err(Bad::Malformed | Bad::BodyTooLarge | Bad::HeadTooLarge) => {
                     return badly(Outcome::Error);
                 }
             }
+            match read_more(stream, buffer).await {
+                Ok(true) => {}
+                _ => return badly(Outcome::Reset),
+            }
+        };
+        let mut body = if question.bodiless { Body::none() } else { Body::of(&head) };
+        let (mut taken, long) = (BytesMut::new(), head.length().is_some_and(|length| length > BODY));
+        let mut patience = std::pin::pin!(self.deadlines.sleep(PATIENCE));
+        let mut waited = false;
+        loop {
+            match body.take(buffer, BODY) {
+                Ok(Some(data)) => {
+                    taken.extend_from_slice(&data);
+                    if taken.len() <= BODY && !long {
+                        continue;
+                    }
+                }
+                Ok(None) if body.done() => {
+                    return judge(&head, taken.freeze(), buffer.is_empty(), &self.site);
+                }
+                Ok(None) => {}
+                Err(_) => return badly(Outcome::Error),
+            }
+            let some = !taken.is_empty() && (long || taken.len() > BODY || waited && head.length().is_none());
+            if some || !held.grow(taken.len() + buffer.len()) {
+                if head.status() != 200 {
+                    return badly(Outcome::Error);
+                }
+                drop(held);
+                let went = (body, taken.freeze());
+                return self.pass_on(stream, buffer, *id, &head, went).await;
+            }
+            let more = tokio::select! {
+                more = read_more(stream, buffer) => more,
+                () = &mut patience, if !waited => {
+                    waited = true;
+                    continue;
+                }
+            };
+            match more {
+                Ok(true) => {}
+                Ok(false) if body.ended() => {}
+                _ => return badly(Outcome::Reset),
+            }
         }
     }
+
+    /// Passes an answer on in pieces, as fast as its client takes them.
+    async fn pass_on(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        id: Id,
+        head: &Head,
+        (mut body, first): (Body, Bytes),
+    ) -> Went {
+        let (pieces, rest) = pieces::way();
+        let load = load(head, &self.site.load_names);
+        let answer =
+            Answer { body: first, content_type: kind(head), length: head.length(), rest: Some(rest) };
+        if !self.schedulings.began(id, answer) {
+            return badly(Outcome::Cancelled);
+        }
+        let end = |outcome| Ending { outcome, load, answer: None };
+        loop {
+            match body.take(buffer, PIECE) {
+                Ok(Some(data)) => {
+                    if pieces.send(Piece::Data(data)).await.is_err() {
+                        return (end(Outcome::Cancelled), false);
+                    }
+                    continue;
+                }
+                Ok(None) if body.done() => {
+                    let _ = pieces.send(Piece::End).await;
+                    return (end(Outcome::Served), !head.close && buffer.is_empty());
+                }
+                Ok(None) => {}
+                Err(_) => return (end(Outcome::Error), false),
+            }
+            buffer.reserve(PIECE);
+            let mut room = (&mut *buffer).limit(PIECE);
+            let read = tokio::select! {
+                read = self.deadlines.within(SILENT, stream.read_buf(&mut room)) => read,
+                () = pieces.closed() => return (end(Outcome::Cancelled), false),
+            };
+            match read {
+                Some(Ok(n)) if n > 0 => {}
+                Some(Ok(_)) if body.ended() => {}
+                _ => return (end(Outcome::Reset), false),
+            }
+        }
+    }
+}
+
+/// How far a question was written.
+enum Asked {
+    /// To its last byte.
+    Whole,
+    /// Not so far: something was answered before.
+    Early,
+}
+
+/// Appends data, as a chunk of its own where the body comes in such.
+fn frame(bytes: &mut BytesMut, data: &[u8], chunked: bool) {
+    if !chunked {
+        return bytes.extend_from_slice(data);
+    }
+    if !data.is_empty() {
+        bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        bytes.extend_from_slice(data);
+        bytes.extend_from_slice(b"\r\n");
+    }
+}
+
+fn kind(head: &Head) -> Option<Bytes> {
+    head.get("content-type").map(Bytes::copy_from_slice)
 }
 
-fn judge(message: Message, nothing_left: bool, site: &Site) -> Went {
-    let head = &message.head;
+fn judge(head: &Head, body: Bytes, nothing_left: bool, site: &Site) -> Went {
     let never_ran = head.get("not-started").is_some_and(|value| value.trim_ascii() == b"1");
     let outcome = match head.status() {
         200 => Outcome::Served,
         503 | 504 if never_ran => Outcome::Full,
         _ => Outcome::Error,
     };
-    let content_type = head.get("content-type").map(Bytes::copy_from_slice);
     let load = load(head, &site.load_names);
     // A status that no real server has to give is garbage: nobody knows what follows it.
     let known = matches!(head.status(), 200 | 500 | 503 | 504);
     let reusable = !head.close && nothing_left && known;
-    let answer = (outcome == Outcome::Served).then_some(Answer { body: message.body, content_type });
-    (Ending { outcome, load, answer }, reusable)
+    let answer = Answer { body, content_type: kind(head), length: head.length(), rest: None };
+    (Ending { outcome, load, answer: (outcome == Outcome::Served).then_some(answer) }, reusable)
 }
 
 /// The load report that an answer carries, as far as it can be read.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,8 +7,9 @@
 pub mod discovery;
 pub mod http;
 pub mod peers;
+pub mod pieces;
 pub mod schedulings;
 pub mod server_side;
 pub mod stream;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,9 @@
 use crate::interface::*;
 use crate::mail::{Ask, quarters, report};
 use crate::prng::Prng;
+use crate::stats::Members;
 use crate::window::{Bucket, Ewma, Fading, Rate, Share};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The timers: for a new subscription, for asks without an answer, and the regular one.
@@ -12,7 +14,7 @@
 pub(crate) const TICK: TimerKey = TimerKey(1);
 
 /// The limiter of one gateway; its decisions are in `src/rules.rs`.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Limiter {
     pub(crate) set: Settings,
     pub(crate) rng: Prng,
@@ -75,6 +77,8 @@
     /// The same of late: more is served of those that are left where many have gone.
     pub(crate) takes_now: [Rate; 2],
     pub(crate) retries: f64,
+    /// Another process decides: what is left here fills no cold server.
+    pub(crate) retired: bool,
 }
 
 impl Limiter {
@@ -124,9 +128,51 @@
             takes: [Rate::default(); 2],
             takes_now: [Rate::default(); 2],
             retries: 0.0,
+            retired: false,
         }
     }
 
+    /// All that it knows, for the limiter of another process; this one goes on with what is out, and no more.
+    pub fn hand_over(&mut self) -> Vec<u8> {
+        let bytes = postcard::to_allocvec(self).unwrap_or_default();
+        self.retired = true;
+        bytes
+    }
+
+    /// The other process is gone: this one decides again.
+    pub fn take_back(&mut self) {
+        self.retired = false;
+    }
+
+    /// Goes on from what another process knew, within the same settings. Tells the attempts that are still out there:
+    /// their ends are to be told as those of requests that are closed.
+    pub fn inherit(&mut self, bytes: &[u8]) -> Result<Vec<(RequestId, AttemptNo, ServerId)>, &'static str> {
+        let mut old: Self = postcard::from_bytes(bytes).map_err(|_| "it cannot be read")?;
+        let shape = |s: &Settings| (s.me, s.gateways, s.classes.len(), s.plans.len());
+        let fits = shape(&old.set) == shape(&self.set) && old.classes.len() == old.set.classes.len();
+        if !fits || old.source != self.source {
+            return Err("it is of other settings");
+        }
+        (old.set, old.retired) = (self.set.clone(), false);
+        // What the other process still waits for is answered there.
+        old.asked.clear();
+        for customer in old.customers.values_mut() {
+            customer.call.held.clear();
+            if customer.call.waiting.take().is_some() {
+                customer.call.total = None;
+            }
+        }
+        old.requests.retain(|_, open| open.attempts.iter().any(|a| a.out));
+        let mut out = Vec::new();
+        for (id, open) in &mut old.requests {
+            open.done = true;
+            let still = (0u16..).zip(&open.attempts).filter(|(_, a)| a.out);
+            out.extend(still.map(|(no, a)| (*id, AttemptNo(no), a.server)));
+        }
+        *self = old;
+        Ok(out)
+    }
+
     /// The part of its full work that a server can do now, at the least.
     pub(crate) fn warmth(&self, now: Millis, server: &Server) -> f64 {
         server.started.map_or(1.0, |at| self.set.cold.warmth(now - at))
@@ -250,6 +296,29 @@
         self.taken_at = now;
     }
 
+    /// What an attempt sends or is sent passes in pieces now: no deadline holds for it, and the server has no work with
+    /// it. Prevents those who read or write slowly from filling the room, or from making a server look silent.
+    pub(crate) fn streams(&mut self, id: RequestId, no: AttemptNo) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.deadline = f64::INFINITY;
+        let units = open.request.units;
+        let attempt = open.attempts.get_mut(usize::from(no.0)).filter(|a| a.out && !a.streams);
+        let Some(attempt) = attempt else { return };
+        attempt.streams = true;
+        (self.in_flight, self.sent_sum) = (self.in_flight - units, self.sent_sum - units * attempt.sent);
+        let out = self.servers.get_mut(&attempt.server).and_then(|s| s.out.get_mut(&(id, no)));
+        out.into_iter().for_each(|(_, _, usual)| *usual = f64::INFINITY);
+    }
+
+    /// The servers on the list, and those of them that get no work now, by the list's word or by what was seen.
+    pub fn members(&self, now: Millis) -> Members {
+        let listed = self.servers.values().filter(|s| s.entry.state != ServerState::Gone);
+        let avoided =
+            |s: &Server| s.entry.state != ServerState::Ready || !self.shared && self.passed_over(now, s);
+        let (all, out) = listed.fold((0, 0), |(all, out), s| (all + 1, out + usize::from(avoided(s))));
+        Members { listed: all, unavailable: out }
+    }
+
     /// The client of a request has left: its attempts are cancelled where that is allowed.
     pub(crate) fn finish(&mut self, id: RequestId) -> Vec<Action> {
         let Some(open) = self.requests.get_mut(&id) else { return Vec::new() };
@@ -321,14 +390,14 @@
 }
 
 /// What servers have in common.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Scope {
     Zone(ZoneId),
     Kind(KindId),
 }
 
 /// What a zone or a kind of machine takes for a class.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Taken {
     /// Usual times beyond the first.
     times: Fading,
@@ -354,7 +423,7 @@
 }
 
 /// Where a gateway hears of the use at others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Source {
     Peers,
     Counter,
@@ -389,7 +458,7 @@
 }
 
 /// What a home holds of a customer.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Ledger {
     pub(crate) store: Bucket,
     /// Asks.
@@ -402,7 +471,7 @@
 }
 
 /// An ask that waits for its answer.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Asked {
     pub(crate) request: RequestId,
     pub(crate) home: GatewayId,
@@ -411,14 +480,14 @@
 }
 
 /// What a peer said of a customer.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Told {
     pub(crate) drawn: Option<u64>,
     pub(crate) asked: Rate,
     pub(crate) out: f64,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Customer {
     pub(crate) plan: PlanId,
     pub(crate) spread: u16,
@@ -448,7 +517,7 @@
 }
 
 /// A customer's account with the counter.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Call {
     /// Units and attempts out that the next call is to add.
     pub(crate) pending: [f64; 2],
@@ -466,7 +535,7 @@
     pub(crate) others: Option<f64>,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Server {
     pub(crate) entry: ServerEntry,
     pub(crate) started: Option<Millis>,
@@ -490,14 +559,16 @@
     pub(crate) unreachable: Option<[Millis; 2]>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub(crate) server: ServerId,
     pub(crate) sent: Millis,
     pub(crate) out: bool,
+    /// Its body still comes, or its answer has begun to pass on.
+    pub(crate) streams: bool,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Open {
     pub(crate) request: Request,
     pub(crate) deadline: Millis,
@@ -511,13 +582,13 @@
     pub(crate) home: Option<(GatewayId, u64)>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct ClassSeen {
     pub(crate) latency: Ewma,
     pub(crate) units: Ewma,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub(crate) struct Peer {
     pub(crate) incarnation: u8,
     pub(crate) heard: Millis,
