--- a/src/rules.rs
+++ b/src/rules.rs
@@ -923,9 +923,7 @@
         }
         silent = (silent || overtaken) && !self.shared; // The mean: a count is held low by a few long ones.
         if judged && !unreached && !silent {
-            // What a slow server takes though nobody waits there says nothing of the room.
-            let idle = end.load.latency.map_or(0.0, |l| (l - usual.min(aim * FIRST_GUESS)).max(0.0));
-            let taken = if full { 1.0 } else { ((end.spent - idle.min(end.spent)) / aim).min(1.0) };
+            let taken = if full { 1.0 } else { (end.spent / aim).min(1.0) };
             // By time where answers are few: prevents many gateways from learning of a trouble after it.
             self.press(now, taken, SHORT_TAU, [WEIGHT / 2.0, WEIGHT]);
         }
