--- a/tests/measure.rs
+++ b/tests/measure.rs
@@ -64,8 +64,16 @@
             let (read, done) = (read.clone(), done.clone());
             spawn_local(async move {
                 let mut client = Client::new(at).await;
-                client.send(&board(&format!("m{i}"), 1400, 1)).await;
                 let mut piece = vec![0; 64 * 1024];
+                // Who is refused asks again: all are to have an answer on its way at once.
+                for n in 0.. {
+                    client.send(&board(&format!("m{i}-{n}"), 1400, 1)).await;
+                    let read = client.0.read(&mut piece).await.unwrap_or(0);
+                    if read == 0 || piece.starts_with(b"HTTP/1.1 200") {
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
                 while !done.get() {
                     // Half of them read slowly, the others as fast as they can.
                     if i % 2 == 0 {
@@ -78,17 +86,18 @@
                 }
             });
         }
+        let mut most = 0;
         let (mut slowest, mut calls, began) = (Duration::ZERO, 0, Instant::now());
         while began.elapsed() < Duration::from_secs(10) {
             let at = Instant::now();
-            figures(door).await;
+            most = most.max(figures(door).await["svc_pending"]);
             (slowest, calls) = (slowest.max(at.elapsed()), calls + 1);
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        let (peak, pending) = (memory(&program, "VmHWM"), figures(door).await["svc_pending"]);
+        let peak = memory(&program, "VmHWM");
         done.set(true);
         println!(
-            "{} MB passed on, {pending} pending; resident {before} kB before, {peak} kB at most; {calls} calls at the door, \
+            "{} MB passed on, {most} at once at most; resident {before} kB before, {peak} kB at most; {calls} calls at the door, \
              the slowest {slowest:?}",
             read.get() >> 20
         );
