--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod stats;
 pub mod succession;
 pub mod tls;
+pub mod view;
 mod window;
 
 pub use interface::{Action, Event, Settings};
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -438,7 +438,7 @@
         }
     }
 
-    fn capacity(&self) -> f64 {
+    pub(crate) fn capacity(&self) -> f64 {
         // To begin with there is room for a few requests: what all can do is not known yet.
         let start = UNITS[0] * self.able.max(1.0) * self.few();
         self.capacity.unwrap_or(start.max(2.0 * self.set.largest.max(1.0))).max(self.least())
@@ -453,7 +453,7 @@
 
     /// How much of their aims answers take. Prevents gateways that see few answers each from cutting their
     /// rooms by chance: what many peers see of the same back end counts for more, while it is fresh.
-    fn pressure(&self, now: Millis) -> f64 {
+    pub(crate) fn pressure(&self, now: Millis) -> f64 {
         let own = self.taken.or(0.0);
         let fresh = if now - self.heard_at < SHORT_TAU { PEERS_SEE } else { 0.0 };
         own + (self.heard_pressure.or(own) - own) * fresh
