Fill a cold real server by what it has just served without delay

Cause: in a release with real servers that fail, two out by hand and little load before, what warm ones took says next to nothing of what a cold one can do. Five cold ones idled while the one warm one that was well had all the work and filled the room; two of three requests were refused for seconds. Ruled out: room and pressure, the upgrade, quotas; leaving dead or slow ones out of the count of warm ones stayed within noise.

--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -35,6 +35,11 @@
     sent: f64,
     /// The most that a window held, as a part of what makes the server fall.
     worst: f64,
+    /// It works on one after another: when it will be free, and what it is at work on.
+    free_at: Millis,
+    /// What each answer of it takes beside.
+    slow: Millis,
+    working: VecDeque<(Millis, usize, AttemptEnd)>,
 }
 
 impl Fleet {
@@ -44,7 +49,22 @@
         let (started, recent) = (None, VecDeque::new());
         let limiters = Vec::new();
         let (now, next, sent, worst) = (1_000_000.0, 0, 0.0, 0.0);
-        let mut fleet = Self { limiters, list, now, next, seed, part, started, recent, sent, worst };
+        let (free_at, slow, working) = (now, 0.0, VecDeque::new());
+        let mut fleet = Self {
+            limiters,
+            list,
+            now,
+            next,
+            seed,
+            part,
+            started,
+            recent,
+            sent,
+            worst,
+            free_at,
+            slow,
+            working,
+        };
         for me in 0..GATEWAYS {
             let limiter = fleet.start(me);
             fleet.limiters.push(limiter);
@@ -78,8 +98,22 @@
         }
     }
 
+    /// Units a second that the watched one can do now.
+    fn can(&self) -> f64 {
+        self.part * CAN * self.started.map_or(1.0, |at| set(0).cold.warmth(self.now - at))
+    }
+
+    /// What the watched one has done by now is answered.
+    fn finish(&mut self) {
+        while let Some((_, me, end)) = self.working.pop_front_if(|(at, ..)| *at <= self.now) {
+            self.limiters[me].handle(self.now, Event::AttemptEnded(end), &mut Vec::new());
+        }
+    }
+
     fn watch(&mut self, units: f64) {
-        let Some(started) = self.started else { return };
+        if self.started.is_none() {
+            return;
+        }
         let cold = set(0).cold;
         self.sent += units;
         self.recent.push_back((self.now, units));
@@ -88,8 +122,7 @@
         }
         let sum: f64 = self.recent.iter().map(|(_, units)| units).sum();
         // The work of the whole window must fit what it could do when the window ended.
-        let most = cold.fall_multiple * cold.warmth(self.now - started) * self.part * CAN * cold.fall_window
-            / 1000.0;
+        let most = cold.fall_multiple * self.can() * cold.fall_window / 1000.0;
         self.worst = self.worst.max(sum / most);
     }
 
@@ -111,6 +144,7 @@
     fn round(&mut self, span: Millis, outcome: impl Fn(ServerId) -> Outcome) {
         for me in 0..usize::from(GATEWAYS) {
             self.now += span / f64::from(GATEWAYS);
+            self.finish();
             self.next += 1;
             let request = self.request(0);
             let mut acts = Vec::new();
@@ -119,10 +153,16 @@
             self.limiters[me].handle(self.now, Event::Request(request), &mut acts);
             let mut no = 0;
             while let Some(server) = sent(&std::mem::take(&mut acts)) {
+                let mut end = ended(request.id, no, server, outcome(server), 50.0);
                 if server == ServerId(0) {
                     self.watch(UNITS);
+                    if self.started.is_some() && end.outcome == Outcome::Served {
+                        self.free_at = self.free_at.max(self.now) + 1000.0 * UNITS / self.can();
+                        end.spent += self.free_at - self.now + self.slow;
+                        self.working.push_back((self.now + end.spent, me, end));
+                        continue;
+                    }
                 }
-                let end = ended(request.id, no, server, outcome(server), 50.0);
                 no += 1;
                 self.limiters[me].handle(self.now, Event::AttemptEnded(end), &mut acts);
             }
@@ -132,8 +172,13 @@
 
 /// Half a minute at three fifths of what the servers can do, in which the servers take what they are sent.
 fn busy(seed: u64, part: f64, weight: f64) -> Fleet {
+    used(0.6, seed, part, weight)
+}
+
+/// The same at another part of what they can do.
+fn used(load: f64, seed: u64, part: f64, weight: f64) -> Fleet {
     let mut fleet = Fleet::new(1000 * seed, part, weight);
-    let round = 1000.0 * UNITS * f64::from(GATEWAYS) / (0.6 * CAN * SERVERS as f64);
+    let round = 1000.0 * UNITS * f64::from(GATEWAYS) / (load * CAN * SERVERS as f64);
     while fleet.now < 1_030_000.0 {
         fleet.round(round, |_| Outcome::Served);
     }
@@ -190,6 +235,25 @@
     assert!(sent > could() * 0.3, "{sent} of {}", could());
 }
 
+#[test]
+fn the_only_one_left_is_filled_by_its_own_answers_where_the_others_took_little() {
+    let mut fleet = used(0.1, 1, 1.0, 1.0);
+    fleet.restart_first(1);
+    for _ in 0..48 {
+        fleet.round(333.0, |_| Outcome::Served);
+    }
+    assert!(fleet.worst < 0.9, "{} of what makes it fall", fleet.worst);
+    assert!(fleet.sent > could() * 0.18, "{} of {}", fleet.sent, could());
+    // One that is late with all gets what the others' word allows, and no more.
+    let mut late = used(0.1, 1, 1.0, 1.0);
+    late.restart_first(1);
+    late.slow = 2000.0;
+    for _ in 0..48 {
+        late.round(333.0, |_| Outcome::Served);
+    }
+    assert!(late.sent < fleet.sent / 2.0, "{} and {}", late.sent, fleet.sent);
+}
+
 #[test]
 fn nor_while_the_gateways_restart_in_turn() {
     let (worst, sent) = worst(1, true, |_| Outcome::Served);
