Read out bodies refused half way; refill cold servers by answers within 1.3 usual times

Now it is read at the pace of any body and goes on. Ruled out: the pace itself, descriptors, the deadline.

--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -377,7 +377,7 @@
                 Err(wrong) => self.wrong(&mut out, wrong),
             };
             drop(held);
-            let Said { close, counts, rest } = said;
+            let Said { mut close, counts, rest, unread } = said;
             if !self.write(&mut stream, &out).await {
                 return;
             }
@@ -398,6 +398,9 @@
             if let Some((taken, end)) = counts {
                 taken.ended(end);
             }
+            if let Some(unread) = unread {
+                close |= !self.read_out(&mut stream, &mut buffer, unread).await;
+            }
             if close {
                 let _ = stream.shutdown().await;
                 drop((buffer, out));
@@ -457,7 +460,7 @@
     fn wrong(&self, out: &mut BytesMut, (status, text): Wrong) -> Said {
         let after = (status == 503).then_some(self.shared.retry_after);
         plain(out, status, text, after, true);
-        Said { close: true, counts: None, rest: None }
+        Said { close: true, counts: None, rest: None, unread: None }
     }
 
     /// Reads on after the last answer, whatever still comes: prevents a reset from overtaking it. Nothing of it is
@@ -634,7 +637,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        (mut body, mut read): (Body, usize),
+        (body, read): (&mut Body, &mut usize),
         pieces: mpsc::Sender<Piece>,
     ) -> Upload {
         let mut started = self.shared.deadlines.clock().now();
@@ -657,17 +660,48 @@
                 Ok(None) => {}
                 Err(bad) => return Upload::Wrong(what_is_wrong(bad)),
             }
-            let within = self.pace(started, read);
+            let within = self.pace(started, *read);
             buffer.reserve(PIECE);
             let mut room = (&mut *buffer).limit(PIECE);
             match self.shared.deadlines.within(within, stream.read_buf(&mut room)).await {
-                Some(Ok(n)) if n > 0 => read += n,
+                Some(Ok(n)) if n > 0 => *read += n,
                 None => return Upload::Wrong(TOO_SLOW),
                 _ => return Upload::Left,
             }
         }
     }
 
+    /// Reads out the rest of a body that was answered half way, as long as it comes as fast as a body must; whether it
+    /// came to its end, so that the connection can go on. Prevents a reset from cutting off a client that sends all
+    /// before it reads its answer. Its connection is closed where room is needed.
+    async fn read_out(&self, stream: &mut TcpStream, buffer: &mut BytesMut, mut body: Body) -> bool {
+        let started = self.shared.deadlines.clock().now();
+        let (place, mut closing) = self.shared.spare((false, false), started);
+        let (mut read, mut drain) = (0, self.shared.signals.drain.clone());
+        let whole = loop {
+            match body.take(buffer, usize::MAX) {
+                Ok(Some(_)) => continue,
+                Ok(None) if body.done() => break true,
+                Ok(None) => {}
+                Err(_) => break false,
+            }
+            buffer.reserve(PIECE);
+            let mut room = (&mut *buffer).limit(PIECE);
+            let within = self.pace(started, read);
+            let more = tokio::select! {
+                more = self.shared.deadlines.within(within, stream.read_buf(&mut room)) => more,
+                _ = &mut closing => break false,
+                _ = drain.wait_for(|drain| *drain == Drain::Closing) => break false,
+            };
+            match more {
+                Some(Ok(n)) if n > 0 => read += n,
+                _ => break false,
+            }
+        };
+        self.shared.keep(place);
+        whole
+    }
+
     /// Answers a message; none where the client left.
     async fn answer(
         &self,
@@ -682,7 +716,7 @@
         let unread = rest.is_some();
         let bodiless = head.request_line().0 == b"HEAD";
         let closes = |close: bool| close || head.close || self.full || self.draining();
-        let said = |close: bool, counts| Some(Said { close, counts, rest: None });
+        let said = |close: bool, counts| Some(Said { close, counts, rest: None, unread: None });
         match (shared.read)(&head, body, !unread) {
             Asked::Wrong(status, text) => {
                 let close = closes(unread);
@@ -721,9 +755,10 @@
                     (body, sender)
                 });
                 let mut waiting = shared.exchange.arrive(terms, question);
-                let mut early = None;
-                if let Some((body, sender)) = upload {
-                    let upload = self.upload(stream, buffer, (body, read), sender);
+                let (mut early, mut unread) = (None, None);
+                if let Some((mut body, sender)) = upload {
+                    let mut read = read;
+                    let upload = self.upload(stream, buffer, (&mut body, &mut read), sender);
                     let went = tokio::select! {
                         biased;
                         verdict = &mut waiting => {
@@ -738,9 +773,8 @@
                         Upload::Left => return None,
                     }
                     waiting.uploaded();
+                    unread = early.is_some().then_some(body);
                 }
-                // Of a body that is not read to its end nobody knows where the next message begins.
-                let unread = early.is_some();
                 let verdict = match early {
                     Some(verdict) => verdict,
                     None => loop {
@@ -757,7 +791,7 @@
                         }
                     },
                 };
-                let (mut close, end, before, mut rest) = (closes(unread), verdict.end(), out.len(), None);
+                let (mut close, end, before, mut rest) = (closes(false), verdict.end(), out.len(), None);
                 match verdict {
                     Verdict::Served(answer) => {
                         // Without a length and without chunks, only the end of the connection tells the end.
@@ -777,7 +811,7 @@
                 if head.old && !close {
                     keep_alive(out, before);
                 }
-                Some(Said { close, counts: Some((taken, end)), rest })
+                Some(Said { close, counts: Some((taken, end)), rest, unread })
             }
         }
     }
@@ -811,6 +845,8 @@
     counts: Option<(Taken, End)>,
     /// What follows, and whether in chunks.
     rest: Option<(Pieces, bool)>,
+    /// What of its body is not read yet: the next message begins after it.
+    unread: Option<Body>,
 }
 
 fn what_is_wrong(bad: Bad) -> Wrong {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -101,8 +101,8 @@
 /// A cold server gets this part of the budget at which it falls, at most this multiple of what it can do, if
 /// warm ones are fully busy.
 const COLD_SHARE: (f64, f64) = (0.6, 1.2);
-/// Of what a cold server has served without delay, it may be sent this part again.
-const COLD_AGAIN: f64 = 0.9;
+/// A cold server may be sent again this part of what it has served within so many usual times.
+const COLD_AGAIN: (f64, f64) = (0.9, 1.3);
 /// The part of the largest request that each gateway which fills a cold server has in a window.
 const COLD_TURN: f64 = 1.0 / 3.0;
 /// Where nothing is known, it gets so many of the largest requests a fall window, from all together.
@@ -908,8 +908,8 @@
                 server.took((end.spent / usual).clamp(0.05, 20.0), 2.0 * WEIGHT, now, SLOWNESS_TAU);
             }
             // Prevents one that could do more from idling where the warm ones took little, or are dead.
-            if served && end.spent < OUTLIER * usual {
-                server.slow_start.level += request.units * COLD_AGAIN;
+            if served && end.spent < COLD_AGAIN.1 * usual {
+                server.slow_start.level += request.units * COLD_AGAIN.0;
             }
             if served {
                 // Prevents pushing over a server that died and came back before the list said so.
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -317,5 +317,14 @@
         beyond.0.write_all(&pattern(100_000)).await.unwrap();
         let (status, _) = answer(&mut beyond.0, &mut beyond.1).await.unwrap();
         assert_eq!(status, 429);
+        // Whoever sends on is read to the end, after a pause, too, and asks again on the same connection.
+        tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+        for piece in pattern(200_000).chunks(20_000) {
+            beyond.0.write_all(piece).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+        beyond.send("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").await;
+        let (status, _) = answer(&mut beyond.0, &mut beyond.1).await.unwrap();
+        assert_eq!(status, 200);
     });
 }
