Membership among the ingresses: SWIM without I/O, a UDP wire, `members` at the door

Need: a dead ingress counted for its part of quotas and of cold servers, and its customers' homes were found lost one ask after another. The view moves homes, the dead's part of reported quotas where more than half live, and the care of cold servers; unknown, it moves nothing.

--- /dev/null
+++ b/src/cluster/packet.rs
@@ -0,0 +1,191 @@
+//! What the ingresses of a fleet send each other about who lives: datagrams that are read whole or not at all.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The longest datagram: below what any path carries in one piece.
+pub const LONGEST: usize = 1200;
+/// The longest name of an instance, in bytes.
+pub const NAME: usize = 48;
+/// Begins each datagram; the last byte is the version.
+const MAGIC: [u8; 4] = *b"whc\x01";
+/// Magic, fleet and checksum.
+const HEADER: usize = 4 + 8 + 4;
+
+/// One process of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Identity {
+    /// Its name, one of a kind in the fleet.
+    pub name: String,
+    /// Its number among the ingresses, from 0.
+    pub number: u16,
+    /// Where its datagrams come from.
+    pub at: SocketAddr,
+    /// When it started, in milliseconds of Unix time: a restart is a later one.
+    pub born: u64,
+}
+
+/// How a member is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It did not answer somebody; it may say that it does.
+    Suspect,
+    /// It said nothing to that in time.
+    Dead,
+    /// It went by itself.
+    Left,
+}
+
+/// What somebody says of a member.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Claim {
+    /// Of whom.
+    pub of: Identity,
+    /// The member's own count: it raises it to contradict.
+    pub incarnation: u32,
+    /// What is said.
+    pub state: State,
+}
+
+impl Claim {
+    /// Whether this goes before what was known of a process of the same name: a later start, then the later count, then
+    /// the graver word.
+    pub fn overrides(&self, born: u64, incarnation: u32, state: State) -> bool {
+        (self.of.born, self.incarnation, self.state) > (born, incarnation, state)
+    }
+}
+
+/// What a datagram is for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for an `Ack`.
+    Ping(u32),
+    /// The answer.
+    Ack(u32),
+    /// Asks the receiver to ping that address, and to pass the answer on.
+    Ask(u32, SocketAddr),
+    /// Says to who has asked that it was tried, and did not answer yet.
+    Nack(u32),
+    /// Asks for all that the receiver knows, unless it is what this digest is of.
+    Join(u64),
+    /// Brings claims, as an answer to that.
+    News,
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Packet {
+    /// Who sends it.
+    pub from: Identity,
+    /// The sender's own count.
+    pub incarnation: u32,
+    /// What it is for.
+    pub body: Body,
+    /// What the sender says of others, or of itself.
+    pub claims: Vec<Claim>,
+}
+
+/// Why a datagram is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Odd {
+    /// It is cut, garbled or too long, or of another version.
+    Unreadable,
+    /// It is another fleet's.
+    Stranger,
+}
+
+/// The key of a fleet by its name: datagrams of others are told from it.
+pub fn fleet_key(name: &str) -> u64 {
+    let part = |salt: &[u8]| {
+        let mut hasher = crc32fast::Hasher::new();
+        hasher.update(salt);
+        hasher.update(name.as_bytes());
+        u64::from(hasher.finalize())
+    };
+    part(b"a") << 32 | part(b"b")
+}
+
+impl Packet {
+    /// Its bytes; none where it is too long.
+    pub fn write(&self, fleet: u64) -> Option<Vec<u8>> {
+        let body = postcard::to_allocvec(self).ok()?;
+        let mut bytes = Vec::with_capacity(HEADER + body.len());
+        bytes.extend_from_slice(&MAGIC);
+        bytes.extend_from_slice(&fleet.to_be_bytes());
+        bytes.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+        bytes.extend_from_slice(&body);
+        (bytes.len() <= LONGEST).then_some(bytes)
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    /// [`Odd`] for whatever is not a whole datagram of this fleet.
+    pub fn read(bytes: &[u8], fleet: u64) -> Result<Self, Odd> {
+        let (magic, rest) = bytes.split_first_chunk::<4>().ok_or(Odd::Unreadable)?;
+        let (key, rest) = rest.split_first_chunk::<8>().ok_or(Odd::Unreadable)?;
+        let (sum, body) = rest.split_first_chunk::<4>().ok_or(Odd::Unreadable)?;
+        if *magic != MAGIC || bytes.len() > LONGEST || crc32fast::hash(body) != u32::from_be_bytes(*sum) {
+            return Err(Odd::Unreadable);
+        }
+        if u64::from_be_bytes(*key) != fleet {
+            return Err(Odd::Stranger);
+        }
+        let (packet, left) = postcard::take_from_bytes::<Self>(body).map_err(|_| Odd::Unreadable)?;
+        let good = |id: &Identity| !id.name.is_empty() && id.name.len() <= NAME;
+        let all = good(&packet.from) && packet.claims.iter().all(|claim| good(&claim.of));
+        (left.is_empty() && all).then_some(packet).ok_or(Odd::Unreadable)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn packet() -> Packet {
+        let id = |n: u16| Identity {
+            name: format!("n{n}"),
+            number: n,
+            at: SocketAddr::from(([127, 0, 0, 1], 7000 + n)),
+            born: 1_700_000_000_000 + u64::from(n),
+        };
+        let claim = |n, state| Claim { of: id(n), incarnation: 3, state };
+        let claims = vec![claim(1, State::Alive), claim(2, State::Suspect), claim(3, State::Left)];
+        Packet { from: id(0), incarnation: 7, body: Body::Ask(9, id(2).at), claims }
+    }
+
+    #[test]
+    fn a_datagram_is_read_as_it_was_and_another_fleets_is_a_strangers() {
+        let bytes = packet().write(5).unwrap();
+        assert_eq!(Packet::read(&bytes, 5), Ok(packet()));
+        assert_eq!(Packet::read(&bytes, 6), Err(Odd::Stranger));
+        assert_ne!(fleet_key("almaty-main"), fleet_key("almaty-test"));
+        let mut many = packet();
+        many.claims = many.claims.iter().cycle().take(200).cloned().collect();
+        assert_eq!(many.write(5), None);
+    }
+
+    #[test]
+    fn what_is_cut_garbled_or_longer_is_dropped() {
+        fn odd(at: usize, flip: u8, cut: usize) -> bool {
+            let whole = packet().write(5).unwrap();
+            let mut bytes = whole.clone();
+            let place = at % bytes.len();
+            bytes[place] ^= flip;
+            bytes.truncate(cut % (bytes.len() + 1));
+            bytes == whole || Packet::read(&bytes, 5).is_err()
+        }
+        fn garbage(bytes: Vec<u8>) -> bool {
+            Packet::read(&bytes, 5).is_err()
+        }
+        let check =
+            || quickcheck::QuickCheck::new().rng(quickcheck::Gen::from_size_and_seed(300, 5)).tests(2000);
+        check().quickcheck(odd as fn(usize, u8, usize) -> bool);
+        check().quickcheck(garbage as fn(Vec<u8>) -> bool);
+        let mut longer = packet().write(5).unwrap();
+        longer.push(0);
+        assert_eq!(Packet::read(&longer, 5), Err(Odd::Unreadable));
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given its defaults: the environment, the platform's
 //! JSON, an operator's TOML and the simulator's text all become pairs of path and value first.
 
+use crate::cluster::packet::NAME;
 use crate::entries::{List, Places};
 use crate::interface::{Class, ColdStart, Effect, GatewayId, Group, Millis, Plan, Settings, ZoneId};
 use crate::membership::Manner;
@@ -273,10 +274,50 @@
     pub peers: Vec<SocketAddr>,
     /// The shared counter.
     pub counter: Option<SocketAddr>,
+    /// The fleet's ingresses, where they tell each other who lives.
+    pub cluster: Option<Fleet>,
     /// The settings.
     pub site: Site,
 }
 
+/// How an instance finds the other ingresses of its fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fleet {
+    /// Where their datagrams come in, as they know it.
+    pub listen: SocketAddr,
+    /// The fleet's name: others' datagrams are dropped.
+    pub name: String,
+    /// Members to join by.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    fn read(pairs: &Pairs, name: &str) -> Result<Option<Self>, ConfigError> {
+        if !pairs.any("cluster") {
+            return Ok(None);
+        }
+        let this = Self {
+            listen: pairs.need("cluster.listen")?,
+            name: pairs.need("cluster.fleet")?,
+            seeds: pairs.list("cluster.seeds")?,
+        };
+        let wrong = |why: String| Err(ConfigError(why));
+        if this.listen.ip().is_unspecified() || this.listen.port() == 0 {
+            return wrong(format!("cluster.listen={} is no address that others can reach", this.listen));
+        }
+        if this.name.is_empty() {
+            return wrong("cluster.fleet is empty".into());
+        }
+        if !this.seeds.is_empty() && this.seeds.iter().all(|at| *at == this.listen) {
+            return wrong("cluster.seeds names this instance only".into());
+        }
+        if name.is_empty() || name.len() > NAME {
+            return wrong(format!("name must be of 1 to {NAME} bytes with cluster"));
+        }
+        Ok(Some(this))
+    }
+}
+
 impl Instance {
     fn read(pairs: &Pairs, json: &Value) -> Result<Self, ConfigError> {
         let settings = json.get("settings").ok_or_else(|| ConfigError("settings is missing".into()))?;
@@ -297,6 +338,7 @@
             peer_listen: pairs.get("peer_listen")?,
             peers: pairs.list("peers")?,
             counter: pairs.get("counter")?,
+            cluster: Fleet::read(pairs, &pairs.need::<String>("name")?)?,
             site,
         };
         let (have, want) = (this.peers.len(), usize::from(this.site.settings.gateways));
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -242,6 +242,7 @@
                     self.feed(Event::Counted(name, answer));
                 }
             }
+            News::Living(living) => self.limiter.living(living),
             News::HandOver(reply) => {
                 self.retired = true;
                 let (list, bans) = (self.maintenance.told(), self.maintenance.bans());
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -98,6 +98,8 @@
     Counted(u64, CounterAnswer),
     /// Another process is to decide from now on: it is owed what is known.
     HandOver(oneshot::Sender<Estate>),
+    /// Which ingresses live, by number; none where that is not known.
+    Living(Option<Vec<bool>>),
     /// That process is gone: this one decides again.
     TakeBack,
     /// What another process knew, which has stopped deciding.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod cli;
+pub mod cluster;
 pub mod config;
 pub mod consul;
 pub mod deadlines;
--- a/src/management.rs
+++ b/src/management.rs
@@ -1,6 +1,7 @@
 //! The operators' door: one line in, one answer out, whatever the load. It has descriptors of its own, and whoever
 //! stays there without a whole line makes room for others.
 
+use crate::cluster::wire::{self, Shared};
 use crate::config::CALLERS;
 use crate::deadlines::Deadlines;
 use crate::exchange::{Operation, Standing};
@@ -57,6 +58,8 @@
     Ready,
     /// The figures.
     ShowStat,
+    /// The ingresses of the fleet.
+    Members,
     /// Something that the engine does.
     Operate(Operation),
     /// Send clients away.
@@ -74,12 +77,15 @@
         match (call, id, more) {
             (Some("ready"), None, None) => Ok(Self::Ready),
             (Some("show-stat"), None, None) => Ok(Self::ShowStat),
+            (Some("members"), None, None) => Ok(Self::Members),
             (Some("drain"), None, None) => Ok(Self::Drain),
             (Some("resume"), None, None) => Ok(Self::Resume),
             (Some("disable-server"), Some(id), None) => Ok(Self::Operate(Operation::Disable(id.to_owned()))),
             (Some("enable-server"), Some(id), None) => Ok(Self::Operate(Operation::Enable(id.to_owned()))),
             (Some("disable-server" | "enable-server"), ..) => Err("one server id is needed"),
-            (Some("ready" | "show-stat" | "drain" | "resume"), ..) => Err("the call takes nothing more"),
+            (Some("ready" | "show-stat" | "members" | "drain" | "resume"), ..) => {
+                Err("the call takes nothing more")
+            }
             (None, ..) => Err("an empty call"),
             _ => Err("unknown call"),
         }
@@ -109,6 +115,8 @@
     pub bans: Option<PathBuf>,
     /// The deadlines.
     pub deadlines: Deadlines,
+    /// What is known of the fleet's ingresses, where they tell each other.
+    pub cluster: Option<Shared>,
     /// Where calls are logged.
     pub log: Logger,
 }
@@ -193,9 +201,19 @@
                 _ => "fail not ready\n".to_owned(),
             },
             Call::ShowStat => match self.engine(Operation::Look).await {
-                Ok(standing) => format!("{}eof\n", self.door.stats.text(standing.members)),
+                Ok(standing) => {
+                    let fleet = self.door.cluster.as_ref().map(|c| wire::figures(&c.borrow()));
+                    format!("{}{}eof\n", self.door.stats.text(standing.members), fleet.unwrap_or_default())
+                }
                 Err(why) => format!("fail {why}\n"),
             },
+            Call::Members => match &self.door.cluster {
+                Some(cluster) => {
+                    let now = self.door.deadlines.clock().now();
+                    format!("{}eof\n", wire::members(&cluster.borrow(), now))
+                }
+                None => "fail no cluster is set\n".to_owned(),
+            },
             Call::Operate(operation) => {
                 let log = &self.door.log;
                 match &operation {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,8 @@
 //! Puts an instance together: one front round one engine, until it is told to stop.
 
+use crate::cluster::packet::{Identity, fleet_key};
+use crate::cluster::wire::{Shared, Wire};
+use crate::cluster::{Cluster, Pace};
 use crate::config::{AuthzConfig, Config, Consul, Instance, Source, Ways};
 use crate::consul::agent::Counts;
 use crate::consul::{START, Watch};
@@ -29,7 +32,7 @@
 use bytes::Bytes;
 use slog::{Logger, info, warn};
 use socket2::{Domain, Socket, Type};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -200,6 +203,30 @@
             parts.spawn_local(peers.run(sent, move |from, bytes| exchange.tell(News::Heard(from, bytes))));
             outlets.peers = Some(mail);
         }
+        let phase = watch::Sender::new(Phase::Starting);
+        let cluster = instance.cluster.as_ref().map(|fleet| {
+            let now = deadlines.clock().now();
+            let me = Identity {
+                name: instance.name.clone(),
+                number: site.settings.me.0,
+                at: fleet.listen,
+                born: now as u64,
+            };
+            let of = (fleet_key(&fleet.name), site.settings.gateways);
+            let cluster = Cluster::new(me, of, fleet.seeds.clone(), Pace::default(), instance.seed ^ 2, now);
+            let cluster: Shared = Rc::new(RefCell::new(cluster));
+            let wire = Wire {
+                cluster: cluster.clone(),
+                at: fleet.listen,
+                role: role.subscribe(),
+                phase: phase.subscribe(),
+                deadlines: deadlines.clone(),
+                log: log.clone(),
+            };
+            let exchange = exchange.clone();
+            spawn_local(wire.run(move |living| exchange.tell(News::Living(living))));
+            cluster
+        });
         let bounds = Bounds {
             flows,
             schedulings: site.settings.max_attempts,
@@ -212,7 +239,7 @@
         let engine = Engine::new(deciding, deadlines.clone(), news, outlets, bounds, log.clone());
         parts.spawn_local(engine.run(known));
         let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
-        let (phase, drain) = (watch::Sender::new(Phase::Starting), watch::Sender::new(Drain::No));
+        let drain = watch::Sender::new(Drain::No);
         let other = Other::default();
         parts.spawn_local(management::announce(drain.clone(), deadlines.clone()));
         if let Some(listener) = door {
@@ -237,6 +264,7 @@
                 other: other.clone(),
                 engine: Box::new(engine),
                 bans,
+                cluster,
                 deadlines: deadlines.clone(),
                 log: log.clone(),
             };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -179,7 +179,7 @@
     /// The gateway of the set that keeps the customer's quota, or the next in line while that is silent.
     fn home(&self, now: Millis, request: &Request) -> Option<GatewayId> {
         let in_line = request.in_line(self.set.gateways);
-        let well = |id: &GatewayId| self.peers.get(id).is_none_or(|p| p.gone_until <= now);
+        let well = |id: &GatewayId| self.lives(*id) && self.peers.get(id).is_none_or(|p| p.gone_until <= now);
         in_line.into_iter().find(|id| *id == self.set.me || well(id))
     }
 
@@ -253,7 +253,7 @@
         let share = (cold.fall_multiple * COLD_SHARE.0).min(COLD_SHARE.1);
         let (largest, gateways) = (self.set.largest.max(1.0), f64::from(self.set.gateways));
         let warmth = self.servers.get(&id).map_or(0.0, |s| self.warmth(now, s));
-        let place = f64::from(self.set.me.place_after(id, self.set.gateways));
+        let place = f64::from(self.place(id));
         let Some(server) = self.servers.get_mut(&id) else { return false };
         // A listed weight, perhaps a guess or of the moment, may lower a server's part, but not raise it.
         let own = takes[0].min(takes[1] * server.weight()) * warmth * share;
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,6 +79,9 @@
     pub(crate) retries: f64,
     /// Another process decides: what is left here fills no cold server.
     pub(crate) retired: bool,
+    /// Which gateways live, by number, where that is known.
+    #[serde(skip)]
+    pub(crate) living: Option<Vec<bool>>,
 }
 
 impl Limiter {
@@ -129,6 +132,27 @@
             takes_now: [Rate::default(); 2],
             retries: 0.0,
             retired: false,
+            living: None,
+        }
+    }
+
+    /// Takes in which gateways live, by number; none where that is not known.
+    pub fn living(&mut self, living: Option<Vec<bool>>) {
+        self.living = living;
+    }
+
+    /// Whether a gateway lives, as far as that is known.
+    pub(crate) fn lives(&self, id: GatewayId) -> bool {
+        self.living.as_ref().is_none_or(|living| living.get(usize::from(id.0)).copied().unwrap_or(true))
+    }
+
+    /// How many of the living stand before this gateway in the line that fills a server while it is cold.
+    pub(crate) fn place(&self, server: ServerId) -> u16 {
+        let place = self.set.me.place_after(server, self.set.gateways);
+        let before = |i: u16| GatewayId((self.set.me.0 + self.set.gateways - i) % self.set.gateways.max(1));
+        match &self.living {
+            Some(_) => (1..=place).filter(|i| self.lives(before(*i))).count() as u16,
+            None => place,
         }
     }
 
@@ -203,12 +227,17 @@
     /// with this gateway. Prevents customers from losing the part of their quota that a dead gateway had: one that
     /// is silent while most are heard is down, or cut off by itself, where it grants its even slices at most.
     pub(crate) fn heard_all(&self, customer: &Customer, since: Millis) -> bool {
-        let heard = |id: GatewayId| self.peers.get(&id).is_some_and(|peer| peer.heard > since);
+        let heard =
+            |id: GatewayId| !self.lives(id) || self.peers.get(&id).is_some_and(|peer| peer.heard > since);
         let most = || {
             let others = self.peers.values().filter(|peer| peer.heard > since).count();
             2 * (others + 1) > usize::from(self.set.gateways)
         };
-        self.set_of(customer).all(heard) || most()
+        // Prevents a part that is cut off from taking what the others grant: those that it takes for dead count only
+        // where more than half of all live here.
+        let lives = (0..self.set.gateways).filter(|id| self.lives(GatewayId(*id))).count();
+        let whole = 2 * lives > usize::from(self.set.gateways);
+        whole && self.set_of(customer).all(heard) || most()
     }
 
     /// What others have out for a customer; of a peer not heard of since then, what it had is over.
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -39,6 +39,8 @@
     worst: f64,
     /// When it will be free, and what it is at work on.
     free_at: Millis,
+    /// The gateways that are asked, where not all are.
+    alive: Option<fn(usize) -> bool>,
     /// What each answer of it takes beside.
     slow: Millis,
     working: VecDeque<(Millis, usize, AttemptEnd)>,
@@ -51,7 +53,7 @@
         let (started, recent) = (None, VecDeque::new());
         let limiters = Vec::new();
         let (now, next, sent, worst) = (1_000_000.0, 0, 0.0, 0.0);
-        let (free_at, slow, working) = (now, 0.0, VecDeque::new());
+        let (free_at, slow, working, alive) = (now, 0.0, VecDeque::new(), None);
         let mut fleet = Self {
             limiters,
             list,
@@ -66,6 +68,7 @@
             free_at,
             slow,
             working,
+            alive,
         };
         for me in 0..GATEWAYS {
             let limiter = fleet.start(me);
@@ -144,7 +147,8 @@
 
     /// One request at each gateway; an attempt ends as `outcome` says, and so do those that follow it.
     fn round(&mut self, span: Millis, outcome: impl Fn(ServerId) -> Outcome) {
-        for me in 0..usize::from(GATEWAYS) {
+        let alive = self.alive.unwrap_or(|_| true);
+        for me in (0..usize::from(GATEWAYS)).filter(|me| alive(*me)) {
             self.now += span / f64::from(GATEWAYS);
             self.finish();
             self.next += 1;
@@ -256,6 +260,28 @@
     assert!(late.sent < fleet.sent / 2.0, "{} and {}", late.sent, fleet.sent);
 }
 
+#[test]
+fn where_most_gateways_are_dead_the_living_ones_fill_it() {
+    let sent = |known: bool| {
+        let mut fleet = busy(1, 1.0, 1.0);
+        fleet.restart_first(SERVERS);
+        let alive = |me: usize| me.is_multiple_of(13);
+        if known {
+            let living: Vec<bool> = (0..usize::from(GATEWAYS)).map(alive).collect();
+            fleet.limiters.iter_mut().for_each(|limiter| limiter.living(Some(living.clone())));
+        }
+        fleet.alive = Some(alive);
+        // A tenth of the gateways take a tenth of a round.
+        for _ in 0..48 {
+            fleet.round(3333.0, |_| Outcome::Served);
+        }
+        assert!(fleet.worst < 0.9, "{} of what makes it fall", fleet.worst);
+        fleet.sent
+    };
+    let (unknown, known) = (sent(false), sent(true));
+    assert!(known > 1.2 * unknown, "{known} and {unknown}");
+}
+
 #[test]
 fn nor_while_the_gateways_restart_in_turn() {
     let (worst, sent) = worst(1, true, |_| Outcome::Served);
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -399,3 +399,25 @@
     let granted = granted.count();
     assert!((8..=35).contains(&granted), "{granted} of a burst of 20");
 }
+
+#[test]
+fn a_home_that_is_known_to_be_dead_is_not_asked_and_one_that_lives_again_is() {
+    let set = Settings { gateways: MANY, peers: true, mail_per_second: 40.0, ..settings(plan()) };
+    let mut bench = Bench::new(set, 20);
+    let told = |bench: &mut Bench, customer| {
+        let (_, acts) = bench.ask(customer, 0, 1.0, MANY);
+        acts.iter().find_map(|act| match act {
+            Action::Tell(to, _) => Some(*to),
+            _ => None,
+        })
+    };
+    let customer = (1..50).find(|c| told(&mut bench, *c).is_some()).unwrap();
+    let home = told(&mut bench, customer).unwrap();
+    let mut living = vec![true; usize::from(MANY)];
+    living[usize::from(home.0)] = false;
+    bench.limiter.living(Some(living));
+    let next = told(&mut bench, customer);
+    assert!(next.is_some_and(|next| next != home), "{next:?} in place of {home:?}");
+    bench.limiter.living(None);
+    assert_eq!(told(&mut bench, customer), Some(home));
+}
