A rig of processes: kills, pauses, cuts and loss between several of the program, checked

Need: what survives the loss of a process can only be proven on processes. A relay stands for each ingress before the others (cluster.advertise), so datagrams are lost, held, doubled or cut by direction. Ruled out: namespaces (rights), faults inside the program. make run starts a small fleet to try.

The checker fails on five broken records.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run run-authz
+.PHONY: build test lint run run-ingress run-authz trials
 
 build:
 	cargo build --locked --release
@@ -10,10 +10,20 @@
 	cargo fmt --all --check
 	cargo clippy --locked --workspace --all-targets --features weldhub-client/tls -- -D warnings
 
-# One ingress of the platform; RELAY_CONFIG names its configuration.
+# A small fleet on loopback: three ingresses before five stand-in real servers. It says what to try.
 run: build
+	cargo build --locked --release -p weldhub-trials
+	exec target/release/weldhub-trials fleet
+
+# One ingress of the platform; RELAY_CONFIG names its configuration.
+run-ingress: build
 	exec target/release/weldhub
 
+# Processes of the program, with faults between them; some minutes.
+trials: build
+	cargo build --locked --release -p weldhub-trials
+	target/release/weldhub-trials play trials/scripts/*.toml
+
 # One instance of the authorisation front.
 run-authz: build
 	exec target/release/weldhub --ext-authz deploy/ext-authz.toml
--- a/src/node.rs
+++ b/src/node.rs
@@ -209,7 +209,7 @@
             let me = Identity {
                 name: instance.name.clone(),
                 number: site.settings.me.0,
-                at: fleet.listen,
+                at: fleet.told,
                 born: now as u64,
             };
             let of = (fleet_key(&fleet.name), site.settings.gateways);
--- /dev/null
+++ b/trials/src/main.rs
@@ -0,0 +1,127 @@
+//! The command line: `weldhub-trials play SCRIPT...` and `weldhub-trials fleet`.
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use weldhub_trials::check::check;
+use weldhub_trials::rig::Rig;
+use weldhub_trials::script::Script;
+
+/// Starts several processes of weldhub on loopback, breaks things between them, and checks what follows.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    /// The program.
+    #[arg(long, global = true, default_value = "target/release/weldhub")]
+    program: PathBuf,
+    #[command(subcommand)]
+    command: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Play scripts one after the other.
+    Play {
+        /// The scripts.
+        #[arg(required = true)]
+        scripts: Vec<PathBuf>,
+        /// Where all that was seen is written, as JSON, a line a script.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
+    /// Run a small fleet until it is ended.
+    Fleet {
+        /// How many ingresses.
+        #[arg(long, default_value_t = 3)]
+        ingresses: usize,
+        /// How many stand-in real servers.
+        #[arg(long, default_value_t = 5)]
+        servers: usize,
+    },
+}
+
+async fn play(program: PathBuf, scripts: Vec<PathBuf>, json: Option<PathBuf>) -> Result<bool, String> {
+    let (mut whole, mut lines) = (true, String::new());
+    for path in scripts {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{name}: {e}"))?;
+        let script = Script::read(&text).map_err(|e| format!("{name}: {e}"))?;
+        println!("{name}: {} ingresses, {} ms", script.ingresses, script.length);
+        let mut rig = Rig::start(&program, &script).await?;
+        let outcome = rig.play(&script, |step| println!("  {step}")).await?;
+        let broken = check(&script, &outcome);
+        let [served, refused, failed] = outcome.ends;
+        let [came, passed] = outcome.datagrams;
+        println!(
+            "  {} changes seen; {} asked: {served} served, {refused} refused, {failed} failed; {came} datagrams, {passed} passed on",
+            outcome.seen.len(),
+            outcome.asked
+        );
+        broken.iter().for_each(|what| println!("  BROKEN {what}"));
+        println!("  {}", if broken.is_empty() { "holds" } else { "does not hold" });
+        whole &= broken.is_empty();
+        lines += &serde_json::json!({"script": name, "broken": broken, "outcome": outcome}).to_string();
+        lines.push('\n');
+    }
+    if let Some(path) = json {
+        std::fs::write(&path, lines).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(whole)
+}
+
+async fn fleet(program: PathBuf, ingresses: usize, servers: usize) -> Result<bool, String> {
+    let script = Script::read(&format!("ingresses = {ingresses}\nservers = {servers}\nlength = 1"))?;
+    let rig = Rig::start(&program, &script).await?;
+    rig.joined().await?;
+    println!("{ingresses} ingresses before {servers} stand-in real servers; Ctrl-C ends them. Try:\n");
+    let fields = ["Request-Id: a1", "X-Tier: club", "Request-Timeout-Ms: 1000"];
+    let fields: Vec<String> = fields.iter().map(|field| format!("-H '{field}'")).collect();
+    println!(
+        "  curl -i {} -H 'X-Call-Terms: units=1,spread=1,first=0' 'http://{}/board-state/17?client=0000000000000007'\n",
+        fields.join(" "),
+        rig.clients[0]
+    );
+    for (n, door) in rig.doors.iter().enumerate() {
+        println!(
+            "  the door of n{n}: {door}, as in: printf 'members\\n' | nc -N {} {}",
+            door.ip(),
+            door.port()
+        );
+    }
+    std::future::pending().await
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+        return ExitCode::FAILURE;
+    };
+    // Whatever ends it, what it started is dropped, and so ended, before it goes.
+    let done = LocalSet::new().block_on(&runtime, async {
+        let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+        else {
+            return Err("no signals".to_owned());
+        };
+        let work = async {
+            match cli.command {
+                What::Play { scripts, json } => play(cli.program, scripts, json).await,
+                What::Fleet { ingresses, servers } => fleet(cli.program, ingresses, servers).await,
+            }
+        };
+        tokio::select! {
+            done = work => done,
+            _ = term.recv() => Ok(true),
+            _ = int.recv() => Ok(true),
+        }
+    });
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("weldhub-trials: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
