--- a/src/cluster/wire.rs
+++ b/src/cluster/wire.rs
@@ -40,10 +40,14 @@
 impl Wire {
     /// Hears and speaks for as long as this process decides; tells who lives each time that changes.
     pub async fn run(mut self, mut tell: impl FnMut(Option<Vec<bool>>)) {
-        if self.role.wait_for(|role| *role == Role::Active).await.is_err() {
-            return;
+        // A process may decide again: where the one that took over has died.
+        while self.role.wait_for(|role| *role == Role::Active).await.is_ok() && !self.serve(&mut tell).await {
         }
-        let Some(socket) = self.bind().await else { return };
+    }
+
+    /// The same until another process decides; true where this one stops.
+    async fn serve(&mut self, tell: &mut impl FnMut(Option<Vec<bool>>)) -> bool {
+        let Some(socket) = self.bind().await else { return true };
         let (mut buffer, mut told) = ([0; LONGEST + 1], None);
         let (mut role, mut phase) = (self.role.clone(), self.phase.clone());
         loop {
@@ -61,11 +65,11 @@
                     let now = self.deadlines.clock().now();
                     self.cluster.borrow_mut().tick(now, &mut acts);
                 }
-                _ = role.wait_for(|role| *role != Role::Active) => return,
+                gone = role.wait_for(|role| *role != Role::Active) => return gone.is_err(),
                 _ = phase.wait_for(|phase| *phase >= Phase::Stopping) => {
                     self.cluster.borrow_mut().leave(&mut acts);
                     self.carry_out(&socket, acts).await;
-                    return;
+                    return true;
                 }
             }
             self.carry_out(&socket, acts).await;
