Rig: relays before every stand-in, upgrades, strangers, operators, ceilings and drains checked

Need: the rig cut datagrams only; drains, ceilings, the counter and discovery could not be broken on it. Chosen: each ingress has an address of its own for each stand-in, with a gate between that holds, slows or resets; real servers record who sent what. Not chosen: faults in the stand-ins, which a process could tell from the network's. Processes end with a rig that is killed (a parent-death signal).

--- a/src/cluster/notices.rs
+++ b/src/cluster/notices.rs
@@ -150,7 +150,8 @@
 
     /// What goes on the next datagram: the least told first.
     pub fn news(&mut self) -> Vec<Notice> {
-        let mut due: Vec<&mut (Notice, u32)> = self.all.values_mut().filter(|(_, tells)| *tells > 0).collect();
+        let mut due: Vec<&mut (Notice, u32)> =
+            self.all.values_mut().filter(|(_, tells)| *tells > 0).collect();
         due.sort_by_key(|(_, tells)| std::cmp::Reverse(*tells));
         let mut room = ROOM;
         let mut out = Vec::new();
@@ -219,7 +220,8 @@
     fn whoever_hears_the_same_words_in_whatever_order_knows_the_same() {
         fn same(words: Vec<(u8, bool, u8, u8)>, seed: u64) -> bool {
             let word = |(of, holds, at, by): (u8, bool, u8, u8)| {
-                let of = if of % 2 == 0 { server(&format!("s{}", of % 8)) } else { Subject::Ingress("n".into()) };
+                let of =
+                    if of % 2 == 0 { server(&format!("s{}", of % 8)) } else { Subject::Ingress("n".into()) };
                 Notice { of, holds, at: u64::from(at % 16), by: u16::from(by % 4) }
             };
             let mut words: Vec<Notice> = words.into_iter().map(word).collect();
--- a/src/cluster/packet.rs
+++ b/src/cluster/packet.rs
@@ -145,7 +145,8 @@
         let plain = *magic == MAGIC;
         if !plain && *magic != NOTICES
             || bytes.len() > LONGEST
-            || crc32fast::hash(body) != u32::from_be_bytes(*sum) {
+            || crc32fast::hash(body) != u32::from_be_bytes(*sum)
+        {
             return Err(Odd::Unreadable);
         }
         if u64::from_be_bytes(*key) != fleet {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -577,7 +577,8 @@
         let (order, orders) = mpsc::unbounded_channel();
         let (call, calls) = mpsc::unbounded_channel();
         let successor = mpsc::unbounded_channel().0;
-        let outlets = Outlets { orders: order, counter: Some(call), successor, peers: None, said: None, witness: None };
+        let outlets =
+            Outlets { orders: order, counter: Some(call), successor, peers: None, said: None, witness: None };
         let bounds = Bounds { flows, schedulings: 2, counter_timeout: 10.0, retry_after: 700.0 };
         let log = Logger::root(slog::Discard, slog::o!());
         let engine = Engine::new(
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! Puts an instance together: one front round one engine, until it is told to stop.
 
-use crate::cluster::packet::{Identity, fleet_key};
 use crate::cluster::notices::Said;
+use crate::cluster::packet::{Identity, fleet_key};
 use crate::cluster::wire::{self, Shared, Wire};
 use crate::cluster::{Cluster, Pace};
 use crate::config::{AuthzConfig, Config, Consul, Instance, Source, Ways};
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -4,6 +4,9 @@
 #![warn(missing_docs)]
 
 pub mod check;
+pub mod gate;
 pub mod relay;
 pub mod rig;
 pub mod script;
+pub mod stand_ins;
+pub mod timeline;
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line: `weldhub-trials play SCRIPT...` and `weldhub-trials fleet`.
 
 use clap::{Parser, Subcommand};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -8,6 +9,7 @@
 use weldhub_trials::check::check;
 use weldhub_trials::rig::Rig;
 use weldhub_trials::script::Script;
+use weldhub_trials::timeline;
 
 /// Starts several processes of weldhub on loopback, breaks things between them, and checks what follows.
 #[derive(Parser)]
@@ -30,7 +32,13 @@
         /// Where all that was seen is written, as JSON, a line a script.
         #[arg(long)]
         json: Option<PathBuf>,
+        /// Where a time line of each is drawn, as SVG, and its changes written, as CSV.
+        #[arg(long)]
+        folder: Option<PathBuf>,
     },
+    /// Become the program, and end with the process that has started this one.
+    #[command(hide = true)]
+    Guard,
     /// Run a small fleet until it is ended.
     Fleet {
         /// How many ingresses.
@@ -42,27 +50,43 @@
     },
 }
 
-async fn play(program: PathBuf, scripts: Vec<PathBuf>, json: Option<PathBuf>) -> Result<bool, String> {
+async fn play(
+    program: PathBuf,
+    scripts: Vec<PathBuf>,
+    json: Option<PathBuf>,
+    folder: Option<PathBuf>,
+) -> Result<bool, String> {
     let (mut whole, mut lines) = (true, String::new());
-    for path in scripts {
+    let count = scripts.len();
+    for (i, path) in scripts.into_iter().enumerate() {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{name}: {e}"))?;
         let script = Script::read(&text).map_err(|e| format!("{name}: {e}"))?;
-        println!("{name}: {} ingresses, {} ms", script.ingresses, script.length);
+        println!("{} of {count}, {name}: {} ingresses, {} ms", i + 1, script.ingresses, script.length);
         let mut rig = Rig::start(&program, &script).await?;
         let outcome = rig.play(&script, |step| println!("  {step}")).await?;
-        let broken = check(&script, &outcome);
+        let (broken, figures) = check(&script, &outcome);
         let [served, refused, failed] = outcome.ends;
         let [came, passed] = outcome.datagrams;
         println!(
             "  {} changes seen; {} asked: {served} served, {refused} refused, {failed} failed; {came} datagrams, {passed} passed on",
             outcome.seen.len(),
-            outcome.asked
+            outcome.asked.len()
+        );
+        let most = figures.ceiling;
+        println!(
+            "  latest after a drain's word {} ms, after an operator's {} ms; most of a ceiling {most:.2}",
+            figures.drain, figures.ban
         );
         broken.iter().for_each(|what| println!("  BROKEN {what}"));
         println!("  {}", if broken.is_empty() { "holds" } else { "does not hold" });
         whole &= broken.is_empty();
-        lines += &serde_json::json!({"script": name, "broken": broken, "outcome": outcome}).to_string();
+        if let Some(folder) = &folder {
+            timeline::write(folder, &path, &script, &outcome)?;
+        }
+        lines +=
+            &serde_json::json!({"script": name, "broken": broken, "figures": figures, "outcome": outcome})
+                .to_string();
         lines.push('\n');
     }
     if let Some(path) = json {
@@ -83,7 +107,7 @@
         fields.join(" "),
         rig.clients[0]
     );
-    for (n, door) in rig.doors.iter().enumerate() {
+    for (n, door) in rig.doors.borrow().iter().enumerate() {
         println!(
             "  the door of n{n}: {door}, as in: printf 'members\\n' | nc -N {} {}",
             door.ip(),
@@ -93,7 +117,23 @@
     std::future::pending().await
 }
 
+/// Becomes the program, which is killed when the rig ends, whatever ends it.
+fn guard() -> ExitCode {
+    let kill = rustix::process::Signal::KILL;
+    let set = rustix::process::set_parent_process_death_signal(Some(kill)).map_err(std::io::Error::from);
+    let why = match (set, std::env::args_os().nth(2)) {
+        (Ok(()), Some(program)) => std::process::Command::new(program).exec(),
+        (Err(e), _) => e,
+        (_, None) => std::io::Error::other("no program"),
+    };
+    eprintln!("weldhub-trials: {why}");
+    ExitCode::FAILURE
+}
+
 fn main() -> ExitCode {
+    if std::env::args_os().nth(1).is_some_and(|arg| arg == "guard") {
+        return guard();
+    }
     let cli = Cli::parse();
     let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
         return ExitCode::FAILURE;
@@ -106,7 +146,8 @@
         };
         let work = async {
             match cli.command {
-                What::Play { scripts, json } => play(cli.program, scripts, json).await,
+                What::Play { scripts, json, folder } => play(cli.program, scripts, json, folder).await,
+                What::Guard => Ok(true),
                 What::Fleet { ingresses, servers } => fleet(cli.program, ingresses, servers).await,
             }
         };
--- a/trials/src/relay.rs
+++ b/trials/src/relay.rs
@@ -24,6 +24,12 @@
 }
 
 impl Ways {
+    /// Nothing is cut, nothing lost.
+    pub fn new(seed: u64) -> Self {
+        let rng = fastrand::Rng::with_seed(seed);
+        Self { net: Net::default(), cut: HashMap::new(), rng, counts: [0; 2] }
+    }
+
     /// Cuts a direction once more, or mends it once.
     pub fn cut(&mut self, from: usize, to: usize, on: bool) {
         let times = self.cut.entry((from, to)).or_default();
@@ -43,25 +49,30 @@
 
 /// The relay.
 pub struct Relay {
-    /// What holds.
-    pub ways: Rc<RefCell<Ways>>,
     /// Where the others find each ingress.
     pub told: Vec<SocketAddr>,
+    real: Vec<SocketAddr>,
+    sockets: Vec<Rc<UdpSocket>>,
 }
 
 impl Relay {
+    /// Sends all others a datagram as if it came from this ingress.
+    pub async fn forge(&self, from: usize, bytes: &[u8]) {
+        for (_, to) in self.real.iter().enumerate().filter(|(n, _)| *n != from) {
+            let _ = self.sockets[from].send_to(bytes, to).await;
+        }
+    }
+
     /// Starts one between ingresses that listen at these addresses, within a local task set.
     ///
     /// # Errors
     /// Where a socket cannot be bound.
-    pub async fn start(real: Vec<SocketAddr>, net: Net, seed: u64) -> io::Result<Self> {
+    pub async fn start(real: Vec<SocketAddr>, ways: Rc<RefCell<Ways>>) -> io::Result<Self> {
         let mut sockets = Vec::new();
         for _ in &real {
             sockets.push(Rc::new(UdpSocket::bind("127.0.0.1:0").await?));
         }
         let told = sockets.iter().map(|s| s.local_addr()).collect::<io::Result<Vec<_>>>()?;
-        let rng = fastrand::Rng::with_seed(seed);
-        let ways = Rc::new(RefCell::new(Ways { net, cut: HashMap::new(), rng, counts: [0; 2] }));
         for (to, socket) in sockets.iter().enumerate() {
             let (socket, sockets, real, ways) = (socket.clone(), sockets.clone(), real.clone(), ways.clone());
             spawn_local(async move {
@@ -86,6 +97,6 @@
         }
         let distinct: HashSet<_> = told.iter().collect();
         debug_assert_eq!(distinct.len(), told.len());
-        Ok(Self { ways, told })
+        Ok(Self { told, real, sockets })
     }
 }
--- a/trials/src/rig.rs
+++ b/trials/src/rig.rs
@@ -1,38 +1,40 @@
-//! Starts what a trial needs, breaks what its script says, and records what the doors show. All that it starts ends with
-//! it: processes are killed when it is dropped, and it waits for nothing that it did not start.
+//! Starts what a trial needs, breaks what its script says, and records what the doors and the stand-ins show. All that it
+//! starts ends with it: processes are killed when it is dropped, or when its own process is, and it waits for nothing
+//! that it did not start.
 
-use crate::check::{Outcome, Seen};
-use crate::relay::Relay;
-use crate::script::{Net, Script, What};
-use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
+use crate::check::{Outcome, Seen, Yes};
+use crate::gate::{Gate, Line};
+use crate::relay::{Relay, Ways};
+use crate::script::{How, Net, Script, Talk, What};
+use crate::stand_ins::World;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
+use weldhub::cluster::packet::{Body, Identity, Packet, fleet_key};
 use weldhub_load::report::End;
 use weldhub_load::run::run;
 use weldhub_load::work::{Step, Work};
 
-/// The doors are read so often.
+/// The doors are read so often, and once more for each hundredth of a second and ingress.
 const LOOK: Duration = Duration::from_millis(100);
 /// A process is ready, or a door answers, within this; generous, as machines differ.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// What is slow takes so long each way.
+const SLOW: u64 = 500;
+/// The plan of all who ask, and its classes.
+const PLAN: &str = "club";
+const CLASSES: [&str; 2] = ["board-state:9:safe:1500", "move-submit:1:keyed=6000:3000"];
 
 /// A process of the program.
 struct Process {
@@ -50,11 +52,14 @@
     }
 }
 
+fn send(child: &Child, signal: Signal) -> io::Result<()> {
+    let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+    pid.map_or(Ok(()), |pid| kill_process(pid, signal).map_err(io::Error::from))
+}
+
 impl Process {
     fn signal(&self, signal: Signal) -> io::Result<()> {
-        let Some(child) = &self.child else { return Ok(()) };
-        let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
-        pid.map_or(Ok(()), |pid| kill_process(pid, signal).map_err(io::Error::from))
+        self.child.as_ref().map_or(Ok(()), |child| send(child, signal))
     }
 }
 
@@ -64,12 +69,17 @@
     folder: PathBuf,
     /// Where clients of each ingress connect.
     pub clients: Vec<SocketAddr>,
-    /// Their doors.
-    pub doors: Vec<SocketAddr>,
+    /// Their doors, which change with an upgrade.
+    pub doors: Rc<RefCell<Vec<SocketAddr>>>,
     told: Vec<Value>,
     processes: Vec<Process>,
+    ways: Rc<RefCell<Ways>>,
     relay: Relay,
-    served: Rc<Cell<u64>>,
+    /// What the ingresses talk with.
+    pub world: World,
+    home: IpAddr,
+    strangers: usize,
+    yes: Vec<Yes>,
 }
 
 impl Drop for Rig {
@@ -79,51 +89,21 @@
     }
 }
 
-fn free(count: usize) -> io::Result<Vec<SocketAddr>> {
-    // All at once, so that none is given twice.
-    let held: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
-    held.iter().map(TcpListener::local_addr).collect()
+/// An address of this rig's own: nobody's outgoing connection takes a port there while an ingress is down.
+fn home() -> IpAddr {
+    let [a, b, ..] = std::process::id().to_le_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 64 | (a & 63), b, 1 | a >> 6))
 }
 
-/// A stand-in real server: whatever is asked is answered after so long.
-async fn server(work: u64, served: Rc<Cell<u64>>) -> io::Result<SocketAddr> {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-    let at = listener.local_addr()?;
-    spawn_local(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
-            let served = served.clone();
-            let answer = service_fn(move |_: Request<hyper::body::Incoming>| {
-                let served = served.clone();
-                async move {
-                    sleep(Duration::from_millis(work)).await;
-                    served.set(served.get() + 1);
-                    Ok::<_, Infallible>(Response::new(Full::new(Bytes::from_static(b"a board\n"))))
-                }
-            });
-            spawn_local(
-                async move { http1::Builder::new().serve_connection(TokioIo::new(stream), answer).await },
-            );
-        }
-    });
-    Ok(at)
+fn free(home: IpAddr, count: usize) -> io::Result<Vec<SocketAddr>> {
+    // All at once, so that none is given twice.
+    let held: Vec<_> = (0..count).map(|_| TcpListener::bind((home, 0))).collect::<io::Result<_>>()?;
+    held.iter().map(TcpListener::local_addr).collect()
 }
 
-/// Discovery that never says anything: the list is that of the start.
-async fn silent() -> io::Result<SocketAddr> {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-    let at = listener.local_addr()?;
-    spawn_local(async move {
-        let mut held = Vec::new();
-        while let Ok((stream, _)) = listener.accept().await {
-            // A few a start; the oldest are let go.
-            held.push(stream);
-            if held.len() > 256 {
-                held.remove(0);
-            }
-        }
-    });
-    Ok(at)
+fn free_udp(home: IpAddr, count: usize) -> io::Result<Vec<SocketAddr>> {
+    let held: Vec<_> = (0..count).map(|_| UdpSocket::bind((home, 0))).collect::<io::Result<_>>()?;
+    held.iter().map(UdpSocket::local_addr).collect()
 }
 
 /// One line to a door, and its answer.
@@ -148,97 +128,134 @@
     lines.map(line).collect()
 }
 
+/// Operators' words as a door tells them, without how long ago they were said.
+fn spoken(text: &str) -> Option<Vec<String>> {
+    let lines = text.strip_suffix("eof\n")?.lines();
+    let line = |line: &str| {
+        let words: Vec<&str> = line.split(' ').collect();
+        Some(format!("{} {} {} by {}", words.first()?, words.get(1)?, words.get(2)?, words.last()?))
+    };
+    lines.map(line).collect()
+}
+
+/// What an ingress of this number is told, but for its sockets.
+fn settings(script: &Script, n: usize) -> Value {
+    let class = |name: &str, give_up: f64, effect: &str| json!({"name": name, "aim": 600.0, "giveUp": give_up, "effect": effect, "group": "cell", "window": 6000.0});
+    let plan = &script.plan;
+    json!({
+        "balancers": script.ingresses, "myNumber": n, "zone": 0, "zones": ["a"], "flavors": ["m"],
+        "membershipMode": "pushed",
+        "limits": {"maxAttempts": 3, "cancelling": true, "retryAfter": true, "maxRetryAfter": 1000.0,
+            "mayTell": script.talk == Talk::Peers},
+        "familyInfo": {"largest": f64::from(plan.units).max(6.0), "mailPerS": 60.0, "counterTimeout": 50.0,
+            "hasCounter": script.talk == Talk::Counter},
+        "rules": {"coldFrom": 0.25, "cold": 18000.0, "fallMultiple": 2.0, "overloadFor": 3000.0},
+        "classes": [class("board-state", 1500.0, "read_like"), class("move-submit", 3000.0, "idempotency_key")],
+        "tariffs": [{"name": PLAN, "perSecond": plan.rate, "storeSize": plan.burst, "atOnce": 0,
+            "ceilingRate": plan.ceiling, "neverOverDepth": plan.ceiling_burst}],
+    })
+}
+
 impl Rig {
-    /// Starts stand-ins, the relay and all ingresses of the program at this path; within a local task set. They are
+    /// Starts stand-ins, the relays and all ingresses of the program at this path; within a local task set. They are
     /// ready when this returns.
     ///
     /// # Errors
     /// What could not be started, or was not ready in time.
     pub async fn start(program: &Path, script: &Script) -> Result<Self, String> {
         let said = |what: &str, e: io::Error| format!("{what}: {e}");
-        let count = script.ingresses;
-        let all = free(2 * count).map_err(|e| said("no free ports", e))?;
+        let (count, home) = (script.ingresses, home());
+        let ports = |e| said("no free ports", e);
+        let all = free(home, 2 * count).map_err(ports)?;
         let (clients, doors) = (all[..count].to_vec(), all[count..].to_vec());
-        let held: Vec<_> = (0..count)
-            .map(|_| UdpSocket::bind("127.0.0.1:0"))
-            .collect::<io::Result<_>>()
-            .map_err(|e| said("no free ports", e))?;
-        let real: Vec<SocketAddr> = held
-            .iter()
-            .map(UdpSocket::local_addr)
-            .collect::<io::Result<_>>()
-            .map_err(|e| said("no free ports", e))?;
-        let relay = Relay::start(real.clone(), Net::default(), script.seed).await;
-        let relay = relay.map_err(|e| said("the relay", e))?;
-        drop(held);
-        let served = Rc::new(Cell::new(0));
-        let mut known = Vec::new();
-        for i in 0..script.servers {
-            let at = server(script.work, served.clone()).await.map_err(|e| said("a real server", e))?;
-            known.push(json!({"instanceId": format!("s{i}"), "hostPort": at.to_string(), "zone": "a", "machineType": "m",
-                "cell": 0, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0}));
-        }
-        let discovery = silent().await.map_err(|e| said("discovery", e))?;
+        let real = free_udp(home, 2 * count).map_err(ports)?;
+        let (real, mail) = (real[..count].to_vec(), real[count..].to_vec());
+        let ways = Rc::new(RefCell::new(Ways::new(script.seed)));
+        let relay = Relay::start(real.clone(), ways.clone()).await.map_err(|e| said("the relay", e))?;
+        let post = Relay::start(mail.clone(), ways.clone()).await.map_err(|e| said("the relay", e))?;
+        let world = World::start(count, script.servers, script.work).await;
+        let world = world.map_err(|e| said("the stand-ins", e))?;
         let folder =
             std::env::temp_dir().join(format!("weldhub-trial-{}-{}", std::process::id(), clients[0].port()));
         std::fs::create_dir_all(&folder).map_err(|e| said("a folder", e))?;
         let told = (0..count)
             .map(|n| {
                 let seeds = [0, (n + 1) % count].map(|i| relay.told[i].to_string());
-                json!({
+                let fleet = if n < script.own() { "trial" } else { "stranger" };
+                let ways = world.ways(n);
+                let mut told = json!({
                     "name": format!("n{n}"), "listen": clients[n].to_string(), "management": doors[n].to_string(),
-                    "discovery": discovery.to_string(),
-                    "known": {"generation": 1, "reset": true, "instances": known},
+                    "discovery": ways.discovery.to_string(),
+                    "known": {"generation": 1, "reset": true, "instances": world.entries(n)},
                     "cluster": {"listen": real[n].to_string(), "advertise": relay.told[n].to_string(),
-                        "fleet": "trial", "seeds": if count > 1 { &seeds[..] } else { &[] }},
-                    "settings": {
-                        "balancers": count, "myNumber": n, "zone": 0, "zones": ["a"], "flavors": ["m"],
-                        "membershipMode": "pushed",
-                        "limits": {"maxAttempts": 3, "cancelling": true, "retryAfter": true, "maxRetryAfter": 1000.0},
-                        "familyInfo": {"largest": 6},
-                        "rules": {"coldFrom": 0.25, "cold": 18000.0, "fallMultiple": 2.0, "overloadFor": 3000.0},
-                        "classes": [{"name": "board-state", "aim": 600.0, "giveUp": 1500.0, "effect": "read_like"}],
-                        "tariffs": [{"name": "club", "perSecond": 100.0, "storeSize": 200.0, "atOnce": 0,
-                            "ceilingRate": 0.0, "neverOverDepth": 0.0}],
-                    },
-                })
+                        "fleet": fleet, "seeds": if count > 1 { &seeds[..] } else { &[] }},
+                    "settings": settings(script, n),
+                });
+                match script.talk {
+                    Talk::None => {}
+                    Talk::Counter => told["counter"] = json!(ways.counter.to_string()),
+                    Talk::Peers => {
+                        let peers: Vec<String> = post.told.iter().map(SocketAddr::to_string).collect();
+                        (told["peer_listen"], told["peers"]) = (json!(mail[n].to_string()), json!(peers));
+                    }
+                }
+                told
             })
             .collect();
         let processes =
             (0..count).map(|n| Process { child: None, file: folder.join(format!("n{n}.json")) }).collect();
-        let mut this =
-            Self { program: program.to_owned(), folder, clients, doors, told, processes, relay, served };
+        let mut this = Self {
+            program: program.to_owned(),
+            folder,
+            clients,
+            doors: Rc::new(RefCell::new(doors)),
+            told,
+            processes,
+            ways,
+            relay,
+            world,
+            home,
+            strangers: script.strangers,
+            yes: Vec::new(),
+        };
         for n in 0..count {
             this.spawn(n).map_err(|e| said(&format!("{}", program.display()), e))?;
         }
         for n in 0..count {
             this.ready(n).await?;
         }
-        this.relay.ways.borrow_mut().net = script.net;
+        this.ways.borrow_mut().net = script.net;
         Ok(this)
     }
 
-    fn spawn(&mut self, n: usize) -> io::Result<()> {
+    fn door(&self, n: usize) -> SocketAddr {
+        self.doors.borrow()[n]
+    }
+
+    /// Starts a process; the one before it, if any, goes on.
+    fn spawn(&mut self, n: usize) -> io::Result<Option<Child>> {
         let process = &mut self.processes[n];
         std::fs::write(&process.file, self.told[n].to_string())?;
         let log =
             std::fs::File::options().create(true).append(true).open(self.folder.join(format!("n{n}.log")))?;
-        let child = Command::new(&self.program)
+        // It ends when this process does, also by SIGKILL.
+        let child = Command::new(std::env::current_exe()?)
+            .arg("guard")
+            .arg(&self.program)
             .env("RELAY_CONFIG", &process.file)
             .env("TMPDIR", &self.folder)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
-        process.child = Some(child);
-        Ok(())
+        Ok(process.child.replace(child))
     }
 
-    /// Waits until an ingress and all that it is told of by its fleet is there.
+    /// Waits until an ingress can serve.
     async fn ready(&self, n: usize) -> Result<(), String> {
         let end = Instant::now() + PATIENCE;
         loop {
-            if call(self.doors[n], "ready\n").await.is_some_and(|text| text.starts_with("ok")) {
+            if call(self.door(n), "ready\n").await.is_some_and(|text| text.starts_with("ok")) {
                 return Ok(());
             }
             if Instant::now() > end {
@@ -248,17 +265,19 @@
         }
     }
 
-    /// Waits until every ingress sees every other.
+    /// Waits until every ingress sees every other of its fleet.
     ///
     /// # Errors
     /// Where that takes too long.
     pub async fn joined(&self) -> Result<(), String> {
         let end = Instant::now() + PATIENCE;
-        for n in 0..self.doors.len() {
+        let count = self.clients.len();
+        for n in 0..count {
+            let fleet = if n < count - self.strangers { count - self.strangers } else { self.strangers };
             loop {
                 let seen =
-                    call(self.doors[n], "members\n").await.as_deref().and_then(view).unwrap_or_default();
-                if seen.values().filter(|state| *state == "alive").count() + 1 == self.doors.len() {
+                    call(self.door(n), "members\n").await.as_deref().and_then(view).unwrap_or_default();
+                if seen.values().filter(|state| *state == "alive").count() + 1 == fleet {
                     break;
                 }
                 if Instant::now() > end {
@@ -277,22 +296,16 @@
     pub async fn play(&mut self, script: &Script, mut say: impl FnMut(String)) -> Result<Outcome, String> {
         self.joined().await?;
         let start = Instant::now();
-        let length = Duration::from_millis(script.length);
+        self.world.begin();
+        self.yes.clear();
+        let (length, count) = (Duration::from_millis(script.length), self.clients.len());
         let looks: Vec<_> =
-            (0..self.doors.len()).map(|n| spawn_local(look(n, self.doors[n], start, length))).collect();
-        let load = (script.rate > 0.0).then(|| {
-            let work = Work {
-                seed: script.seed,
-                steps: vec![Step { seconds: script.length as f64 / 1000.0 - 2.0, rate: script.rate }],
-                classes: ["board-state:1:safe:1500".parse()].into_iter().flatten().collect(),
-                customers: 50,
-                plan: "club".into(),
-                spread: self.clients.len(),
-                units: 3,
-            };
-            let asked = work.arrivals().len() as u64;
-            let at: Vec<String> = self.clients.iter().map(SocketAddr::to_string).collect();
-            (asked, spawn_local(async move { run(&work, &at, 8).await }))
+            (0..count).map(|n| spawn_local(look(n, self.doors.clone(), start, length))).collect();
+        let (work, own) = (work(script), script.own());
+        let arrivals = work.as_ref().map(Work::arrivals).unwrap_or_default();
+        let load = work.map(|work| {
+            let at: Vec<String> = self.clients[..own].iter().map(SocketAddr::to_string).collect();
+            spawn_local(async move { run(&work, &at, 8).await })
         });
         let mut todo: Vec<(u64, Turn)> = Vec::new();
         for fault in &script.faults {
@@ -302,32 +315,39 @@
             }
         }
         todo.sort_by_key(|(at, _)| *at);
-        let mut run = vec![true; self.doors.len()];
+        let mut run = vec![true; count];
         for (at, step) in todo {
             sleep_until(start + Duration::from_millis(at)).await;
             say(format!("{at} ms  {step:?}"));
             self.step(&step, &mut run, script.net).await.map_err(|e| format!("at {at}: {e}"))?;
         }
         sleep_until(start + length).await;
-        let mut outcome = Outcome { run, datagrams: self.relay.ways.borrow().counts, ..Outcome::default() };
+        let datagrams = self.ways.borrow().counts;
+        let mut outcome = Outcome { run, datagrams, yes: self.yes.clone(), ..Outcome::default() };
         for look in looks {
             let (seen, last) = look.await.map_err(|e| e.to_string())?;
             outcome.seen.extend(seen);
             outcome.last.push(last);
         }
         outcome.seen.sort_by_key(|seen| seen.at);
-        if let Some((asked, load)) = load {
+        for n in 0..count {
+            outcome.words.push(call(self.door(n), "notices\n").await.as_deref().and_then(spoken));
+        }
+        if let Some(load) = load {
             let report = load.await.map_err(|e| e.to_string())??;
-            outcome.asked = asked;
+            outcome.asked = arrivals.iter().map(|a| (a.customer, a.units)).collect();
             outcome.ends = [End::Served, End::Refused, End::Failed].map(|end| report.count(end));
         }
+        outcome.record = self.world.record();
         Ok(outcome)
     }
 
     async fn step(&mut self, step: &Turn, run: &mut [bool], usual: Net) -> Result<(), String> {
         let wrong = |e: io::Error| e.to_string();
-        match step {
-            Turn::Begin(What::Kill(of)) => {
+        let on = matches!(step, Turn::Begin(_));
+        let (Turn::Begin(what) | Turn::End(what)) = step;
+        match what {
+            What::Kill(of) if on => {
                 for n in of {
                     run[*n] = false;
                     if let Some(mut child) = self.processes[*n].child.take() {
@@ -335,44 +355,97 @@
                     }
                 }
             }
-            Turn::Begin(What::Term(of)) => {
+            What::Term(of) if on => {
                 for n in of {
                     run[*n] = false;
                     self.processes[*n].signal(Signal::TERM).map_err(wrong)?;
                 }
             }
-            Turn::Begin(What::Start(of)) => {
+            What::Start(of) if on => {
                 for n in of {
-                    if let Some(mut child) = self.processes[*n].child.take() {
-                        // One that was told to stop: it is given its time.
-                        let end = Instant::now() + PATIENCE;
-                        while child.try_wait().map_err(wrong)?.is_none() && Instant::now() < end {
-                            sleep(Duration::from_millis(20)).await;
-                        }
-                        let _ = child.kill();
-                        child.wait().map_err(wrong)?;
+                    if let Some(child) = self.processes[*n].child.take() {
+                        end(child).await.map_err(wrong)?;
                     }
                     self.spawn(*n).map_err(wrong)?;
                     run[*n] = true;
                 }
             }
-            Turn::Begin(What::Pause { of, .. }) => {
-                of.iter().try_for_each(|n| self.processes[*n].signal(Signal::STOP)).map_err(wrong)?;
+            What::Upgrade(of) if on => {
+                for n in of {
+                    let door = free(self.home, 1).map_err(wrong)?[0];
+                    self.told[*n]["management"] = json!(door.to_string());
+                    let old = self.spawn(*n).map_err(wrong)?;
+                    self.doors.borrow_mut()[*n] = door;
+                    self.ready(*n).await?;
+                    if let Some(old) = old {
+                        send(&old, Signal::TERM).map_err(wrong)?;
+                        end(old).await.map_err(wrong)?;
+                    }
+                }
+            }
+            What::Pause { of, .. } => {
+                let signal = if on { Signal::STOP } else { Signal::CONT };
+                of.iter().try_for_each(|n| self.processes[*n].signal(signal)).map_err(wrong)?;
+            }
+            What::Cut { from, to, one_sided, .. } => self.cut(from, to, *one_sided, on),
+            What::Net { net, .. } => self.ways.borrow_mut().net = if on { *net } else { usual },
+            What::ClockAhead { of, by } if on => self.forge(*of, *by).await,
+            What::Discovery { of, is, .. } => gates(&self.world.to_discovery, of, *is, on),
+            What::Counter { of, is, .. } => gates(&self.world.to_counter, of, *is, on),
+            What::Servers { servers, of, is, .. } => {
+                servers.iter().for_each(|s| gates(&self.world.to_servers[*s], of, *is, on));
             }
-            Turn::End(What::Pause { of, .. }) => {
-                of.iter().try_for_each(|n| self.processes[*n].signal(Signal::CONT)).map_err(wrong)?;
+            What::Empty { .. } => self.world.empty(on),
+            What::Forget if on => self.world.forget(),
+            What::Split { of, .. } => self.world.split(if on { of } else { &[] }),
+            What::Drain { servers, .. } => servers.iter().for_each(|s| self.world.drain(*s, on)),
+            What::Ban { server, by, back_by, .. } => {
+                let word = if on { "disable-server" } else { "enable-server" };
+                let door = if on { *by } else { *back_by };
+                self.operate(door, &format!("{word} s{server}"), Some((*server, on))).await?;
             }
-            Turn::Begin(What::Cut { from, to, one_sided, .. }) => self.cut(from, to, *one_sided, true),
-            Turn::End(What::Cut { from, to, one_sided, .. }) => self.cut(from, to, *one_sided, false),
-            Turn::Begin(What::Net { net, .. }) => self.relay.ways.borrow_mut().net = *net,
-            Turn::End(What::Net { .. }) => self.relay.ways.borrow_mut().net = usual,
-            Turn::End(_) => {}
+            What::SendAway { of, by, back_by, .. } => {
+                let word = if on { "drain" } else { "resume" };
+                let door = if on { *by } else { *back_by };
+                self.operate(door, &format!("{word} n{of}"), None).await?;
+            }
+            _ => {}
         }
         Ok(())
     }
 
+    /// An operator's call at a door, and when it was answered.
+    async fn operate(&mut self, by: usize, line: &str, of: Option<(usize, bool)>) -> Result<(), String> {
+        let asked = self.world.now();
+        let answer = call(self.door(by), &format!("{line}\n")).await.unwrap_or_default();
+        if !answer.starts_with("ok") {
+            return Err(format!("the door of n{by} says {answer:?} to {line}"));
+        }
+        if let Some((server, out)) = of {
+            let at = if out { self.world.now() } else { asked };
+            self.yes.push(Yes { at, by, server, out });
+        }
+        Ok(())
+    }
+
+    /// All hear of a process of this ingress whose clock was ahead.
+    async fn forge(&self, of: usize, by: u64) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let from = Identity {
+            name: format!("n{of}"),
+            number: u16::try_from(of).unwrap_or_default(),
+            at: self.relay.told[of],
+            born: now + by,
+        };
+        let (claims, notices) = (Vec::new(), Vec::new());
+        let packet = Packet { from, incarnation: 0, body: Body::News, claims, notices, digest: 0 };
+        if let Some(bytes) = packet.write(fleet_key("trial")) {
+            self.relay.forge(of, &bytes).await;
+        }
+    }
+
     fn cut(&self, from: &[usize], to: &[usize], one_sided: bool, on: bool) {
-        let mut ways = self.relay.ways.borrow_mut();
+        let mut ways = self.ways.borrow_mut();
         for a in from {
             for b in to {
                 ways.cut(*a, *b, on);
@@ -382,11 +455,39 @@
             }
         }
     }
+}
+
+fn gates(all: &[Gate], of: &[usize], is: How, on: bool) {
+    let line = match is {
+        How::Silent => Line { silent: true, ..Line::default() },
+        How::Refused => Line { refused: true, ..Line::default() },
+        How::Slow => Line { delay: SLOW, ..Line::default() },
+    };
+    of.iter().for_each(|n| all[*n].fault(line, on));
+}
 
-    /// Requests that the stand-in real servers have answered.
-    pub fn served(&self) -> u64 {
-        self.served.get()
+/// One that was told to stop is given its time, and then killed.
+async fn end(mut child: Child) -> io::Result<()> {
+    let last = Instant::now() + PATIENCE;
+    while child.try_wait()?.is_none() && Instant::now() < last {
+        sleep(Duration::from_millis(20)).await;
     }
+    let _ = child.kill();
+    child.wait().map(drop)
+}
+
+/// What is asked in a trial; none where nothing is.
+fn work(script: &Script) -> Option<Work> {
+    let own = script.own();
+    (script.rate > 0.0).then(|| Work {
+        seed: script.seed,
+        steps: vec![Step { seconds: script.length as f64 / 1000.0 - 2.0, rate: script.rate }],
+        classes: CLASSES.iter().filter_map(|class| class.parse().ok()).collect(),
+        customers: script.plan.customers,
+        plan: PLAN.into(),
+        spread: if script.plan.spread == 0 { own } else { script.plan.spread.min(own) },
+        units: script.plan.units,
+    })
 }
 
 /// A step of a script: a fault begins, or ends.
@@ -399,12 +500,14 @@
 /// Reads a door again and again; tells each change, and the last view.
 async fn look(
     by: usize,
-    door: SocketAddr,
+    doors: Rc<RefCell<Vec<SocketAddr>>>,
     start: Instant,
     length: Duration,
 ) -> (Vec<Seen>, Option<BTreeMap<usize, String>>) {
     let (mut seen, mut before, mut last) = (Vec::new(), BTreeMap::new(), None);
+    let pause = LOOK + Duration::from_millis(10 * doors.borrow().len() as u64);
     while start.elapsed() < length {
+        let door = doors.borrow()[by];
         last = call(door, "members\n").await.as_deref().and_then(view);
         if let Some(now) = &last {
             for (of, state) in now.iter().filter(|(of, _)| **of != by) {
@@ -415,7 +518,7 @@
             }
             before.clone_from(now);
         }
-        sleep(LOOK).await;
+        sleep(pause).await;
     }
     (seen, last)
 }
