Membership at 300 and 2,000: compare by parts, index what is looked up; slices follow the living

It was whole lists: each compare of checksums that differ sent all members, and what came in one was told on. Slices of the quota where nothing is heard follow those of the set that live, while more than half of the fleet does; ceilings do not. Not chosen: comparing only when settled (a fleet in churn would never mend).

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod check;
 pub mod compare;
 pub mod judge;
+pub mod members;
 pub mod plot;
 pub mod report;
 pub mod script;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -1,9 +1,11 @@
 //! The command line: `weldhub-emulator run`, `sweep`, `compare` and `trace`.
 
 use clap::{Args, Parser, Subcommand};
+use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use weldhub_emulator::compare::{Run, by_build, pair, sum_up, sweep};
+use weldhub_emulator::members::{self, Setup};
 use weldhub_emulator::report::rows;
 use weldhub_emulator::script::Script;
 use weldhub_emulator::world::{Trace, run, shipped};
@@ -64,6 +66,8 @@
         #[arg(long, default_value_t = 30)]
         seeds: u64,
     },
+    /// Membership among ingresses, in numbers that processes don't reach: kills, pauses, loss; a line of CSV a run.
+    Members(Members),
     /// What ingresses or real servers went by, every 100 ms, as CSV on standard output.
     Trace {
         #[command(flatten)]
@@ -80,6 +84,68 @@
     },
 }
 
+#[derive(Args)]
+struct Members {
+    /// How many instances, one value a run.
+    #[arg(long, value_delimiter = ',', default_value = "300")]
+    instances: Vec<usize>,
+    /// The part of datagrams that is lost, one value a run.
+    #[arg(long, value_delimiter = ',', default_value = "0.05")]
+    loss: Vec<f64>,
+    /// Their mean time on the way, in milliseconds.
+    #[arg(long, default_value_t = 5.0)]
+    delay: f64,
+    /// Each stands still once in so many seconds; never: 0.
+    #[arg(long, default_value_t = 0.0)]
+    pause_every: f64,
+    /// For so long, in milliseconds.
+    #[arg(long, default_value_t = 600.0)]
+    pause: f64,
+    /// So many are killed each so many seconds; never: 0.
+    #[arg(long, default_value_t = 15.0)]
+    kill_every: f64,
+    /// How many at once.
+    #[arg(long, default_value_t = 1)]
+    kill: usize,
+    /// How long each run lasts, in seconds.
+    #[arg(long, default_value_t = 120.0)]
+    seconds: f64,
+    /// For chance.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+impl Members {
+    fn play(self) -> Result<String, String> {
+        let mut text = String::from(
+            "instances,loss,joined_ms,known_ms_median,known_ms_99,known_ms_worst,unknown,wrong,wrong_an_hour,bytes_a_second,bytes_most,datagrams_a_second,bytes_most_joining",
+        );
+        for instances in &self.instances {
+            for loss in &self.loss {
+                let setup = Setup {
+                    instances: *instances,
+                    loss: *loss,
+                    delay: self.delay,
+                    pause_every: self.pause_every,
+                    pause: self.pause,
+                    kill_every: self.kill_every,
+                    kill: self.kill,
+                    seconds: self.seconds,
+                    seed: self.seed,
+                };
+                let o = members::run(&setup)?;
+                let ([median, late, worst], [bytes, most]) = (o.known, o.bytes);
+                let _ = write!(
+                    text,
+                    "\n{instances},{loss},{:.0},{median:.0},{late:.0},{worst:.0},{},{},{:.1},{bytes:.0},{most:.0},{:.1},{:.0}",
+                    o.joined, o.unknown, o.wrong, o.wrong_an_hour, o.datagrams, o.joining
+                );
+            }
+        }
+        Ok(text)
+    }
+}
+
 #[derive(Args)]
 struct Of {
     /// The script.
@@ -191,6 +257,7 @@
                 paired.worse
             ))
         }
+        Command::Members(of) => of.play(),
         Command::Trace { of, ingress, server, every } => {
             if !(every.is_finite() && every >= 1.0) {
                 return Err("--every must be 1 or more".into());
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -11,7 +11,8 @@
 use crate::interface::Millis;
 use notices::{Notice, Notices, Subject};
 use packet::{Body, Claim, Identity, LONGEST, NAME, Odd, Packet, State};
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// The spans that an instance goes by, in milliseconds.
@@ -43,6 +44,9 @@
 const TELL: f64 = 4.0;
 /// In one round of so many what is known is compared with that of a member.
 const COMPARE: u32 = 20;
+/// What is compared are checksums, of one part of the fleet for so many numbers, and of so many parts at the most.
+const PART: u16 = 32;
+const PARTS: u16 = 64;
 /// In one round of so many a dead member is tried again, so that a cut that heals is noticed.
 const REVIVE: u32 = 4;
 /// So many relays are kept at once.
@@ -91,6 +95,17 @@
     pub contradicted: u64,
 }
 
+/// Where a claim comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum From {
+    /// This instance itself.
+    Own,
+    /// News of another's, which goes on.
+    News,
+    /// An answer to a question: the others know it.
+    Answer,
+}
+
 #[derive(Debug, Clone)]
 struct Member {
     id: Identity,
@@ -136,6 +151,12 @@
     pace: Pace,
     rng: fastrand::Rng,
     members: BTreeMap<String, Member>,
+    /// Which of them has a number, among those that live.
+    numbers: BTreeMap<u16, String>,
+    /// Those that are not simply alive.
+    odd: BTreeSet<String>,
+    /// Those of whom there is something to tell, the least told first.
+    telling: BTreeSet<(Reverse<u32>, String)>,
     order: VecDeque<String>,
     probe: Option<Probe>,
     round_at: Millis,
@@ -180,6 +201,9 @@
             pace,
             rng,
             members: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            odd: BTreeSet::new(),
+            telling: BTreeSet::new(),
             order: VecDeque::new(),
             probe: None,
             round_at,
@@ -203,11 +227,15 @@
     /// When `tick` is due.
     pub fn due(&self) -> Millis {
         let help = self.probe.iter().filter(|p| !p.asked && !p.answered).map(|p| p.help_at);
-        let doubts = self.members.values().filter_map(|m| m.doubt).map(|(at, _)| at);
+        let doubts = self.odd().filter_map(|m| m.doubt).map(|(at, _)| at);
         let nacks = self.relays.values().map(|relay| relay.nack_at);
         help.chain(doubts).chain(nacks).fold(self.round_at, f64::min)
     }
 
+    fn odd(&self) -> impl Iterator<Item = &Member> {
+        self.odd.iter().filter_map(|name| self.members.get(name))
+    }
+
     /// This instance.
     pub fn me(&self) -> &Identity {
         &self.me
@@ -287,13 +315,13 @@
     /// Suspicions that have lasted: one's own ends in a death, one that was only heard of in a try of one's own.
     fn doubts(&mut self, now: Millis, acts: &mut Vec<Action>) {
         let over = |m: &Member| m.doubt.is_some_and(|(at, _)| now >= at);
-        let due: Vec<String> = self.members.values().filter(|m| over(m)).map(|m| m.id.name.clone()).collect();
+        let due: Vec<String> = self.odd().filter(|m| over(m)).map(|m| m.id.name.clone()).collect();
         for name in due {
             let Some(member) = self.members.get_mut(&name) else { continue };
             if member.doubt.is_some_and(|(_, own)| own) {
                 let claim =
                     Claim { of: member.id.clone(), incarnation: member.incarnation, state: State::Dead };
-                self.believe(now, claim, false, acts);
+                self.believe(now, claim, From::News, acts);
             } else {
                 member.doubt = Some((now + HEARSAY * self.pace.suspicion, false));
                 self.order.retain(|n| *n != name);
@@ -340,17 +368,17 @@
             if let Some(member) = self.members.get(&probe.name).filter(|m| m.state <= State::Suspect) {
                 let claim =
                     Claim { of: member.id.clone(), incarnation: member.incarnation, state: State::Suspect };
-                self.believe(now, claim, true, acts);
+                self.believe(now, claim, From::Own, acts);
             }
         }
         // The suspect is told at once, again and again, whatever others' news brings.
         let own = |m: &&Member| m.doubt.is_some_and(|(_, own)| own);
-        let told: Vec<SocketAddr> = self.members.values().filter(own).map(|m| m.id.at).collect();
+        let told: Vec<SocketAddr> = self.odd().filter(own).map(|m| m.id.at).collect();
         for at in told {
             let seq = self.next_seq();
             self.send(at, Body::Ping(seq), acts);
         }
-        let (forget, size) = (self.pace.forget, usize::from(self.size));
+        let (forget, size, before) = (self.pace.forget, usize::from(self.size), self.members.len());
         self.members.retain(|_, m| m.state <= State::Suspect || now - m.since < forget);
         while self.members.len() > 2 * size {
             // Only names that came and went in one span of forgetting: the oldest of them goes first.
@@ -359,6 +387,11 @@
             let Some(oldest) = oldest else { break };
             self.members.remove(&oldest);
         }
+        if self.members.len() < before {
+            let members = &self.members;
+            self.odd.retain(|name| members.contains_key(name));
+            self.telling.retain(|(_, name)| members.contains_key(name));
+        }
     }
 
     fn begin_round(&mut self, now: Millis, acts: &mut Vec<Action>) {
@@ -375,13 +408,13 @@
             let alive = self.members.values().filter(|m| m.state == State::Alive);
             let all: Vec<SocketAddr> = alive.map(|m| m.id.at).collect();
             if let Some(at) = self.rng.choice(&all).copied() {
-                let digest = self.digest();
-                self.send(at, Body::Join(digest), acts);
+                let parts = self.parts();
+                self.send(at, Body::Compare(parts), acts);
             }
         }
         if self.rounds.is_multiple_of(REVIVE) {
             let dead: Vec<SocketAddr> =
-                self.members.values().filter(|m| m.state == State::Dead).map(|m| m.id.at).collect();
+                self.odd().filter(|m| m.state == State::Dead).map(|m| m.id.at).collect();
             if let Some(at) = self.rng.choice(&dead).copied() {
                 let seq = self.next_seq();
                 self.send(at, Body::Ping(seq), acts);
@@ -426,6 +459,22 @@
         u64::from(hasher.finalize()) + 1
     }
 
+    /// The same by parts of the fleet: numbers that have a rest in common.
+    fn parts(&self) -> Vec<u32> {
+        let mut parts = vec![0; usize::from((self.size / PART).clamp(1, PARTS))];
+        let me = (self.me.number, self.me.born);
+        let others = self.members.values().filter(|m| m.state <= State::Suspect);
+        for (number, born) in others.map(|m| (m.id.number, m.id.born)).chain([me]) {
+            let mut hasher = crc32fast::Hasher::new();
+            hasher.update(&number.to_be_bytes());
+            hasher.update(&born.to_be_bytes());
+            // In whatever order they come.
+            let at = usize::from(number) % parts.len();
+            parts[at] ^= hasher.finalize();
+        }
+        parts
+    }
+
     fn next_seq(&mut self) -> u32 {
         self.seq = self.seq.wrapping_add(1);
         self.seq
@@ -462,16 +511,18 @@
             let state = if self.left { State::Left } else { State::Alive };
             add(&mut packet, Claim { of: self.me.clone(), incarnation: self.incarnation, state });
         }
-        if let Some(told) = self.members.values().find(|m| m.id.at == to && m.state != State::Alive) {
+        if let Some(told) = self.odd().find(|m| m.id.at == to) {
             add(&mut packet, claim(told));
         }
-        let mut news: Vec<&mut Member> = self.members.values_mut().filter(|m| m.tell > 0).collect();
-        news.sort_by_key(|m| std::cmp::Reverse(m.tell));
-        for member in news.into_iter().take(LONGEST / 48) {
+        let news: Vec<String> =
+            self.telling.iter().take(LONGEST / 48).map(|(_, name)| name.clone()).collect();
+        for name in news {
+            let Some(member) = self.members.get_mut(&name) else { continue };
             if !add(&mut packet, claim(member)) {
                 break;
             }
-            member.tell -= 1;
+            let tell = member.tell.saturating_sub(1);
+            self.retell(&name, tell);
         }
         self.push(to, &packet, acts);
     }
@@ -489,11 +540,12 @@
         }
     }
 
-    /// Tells all that is known, in as many datagrams as it takes.
-    fn tell_all(&mut self, to: SocketAddr, acts: &mut Vec<Action>) {
+    /// Tells all that is known of those that are wanted, in as many datagrams as it takes.
+    fn tell_all(&mut self, to: SocketAddr, wanted: impl Fn(u16) -> bool, acts: &mut Vec<Action>) {
         let all: Vec<Claim> = self
             .members
             .values()
+            .filter(|m| wanted(m.id.number))
             .map(|m| Claim { of: m.id.clone(), incarnation: m.incarnation, state: m.state })
             .collect();
         if all.is_empty() {
@@ -527,10 +579,11 @@
         // Only who sends from its own address is believed to be there.
         if from.at == at && from.number < self.size {
             let said = Claim { of: from.clone(), incarnation: packet.incarnation, state: State::Alive };
-            self.believe(now, said, false, acts);
+            self.believe(now, said, From::News, acts);
         }
+        let from = if packet.body == Body::News { From::Answer } else { From::News };
         for claim in packet.claims {
-            self.believe(now, claim, false, acts);
+            self.believe(now, claim, from, acts);
         }
         let tells = self.tells();
         for word in packet.notices {
@@ -587,7 +640,19 @@
                 self.send(at, Body::Ack(0), acts);
                 if digest != self.digest() && now - self.joined_at >= JOIN_GAP {
                     self.joined_at = now;
-                    self.tell_all(at, acts);
+                    self.tell_all(at, |_| true, acts);
+                }
+            }
+            Body::Compare(parts) => {
+                self.send(at, Body::Ack(0), acts);
+                let mine = self.parts();
+                if parts != mine && now - self.joined_at >= JOIN_GAP {
+                    self.joined_at = now;
+                    let differs = |number: u16| {
+                        let at = usize::from(number) % mine.len();
+                        parts.len() != mine.len() || parts[at] != mine[at]
+                    };
+                    self.tell_all(at, differs, acts);
                 }
             }
             Body::News => self.told_all = true,
@@ -595,8 +660,9 @@
         }
     }
 
-    /// Takes in what is said of a member; `own` where it is this instance that says it.
-    fn believe(&mut self, now: Millis, claim: Claim, own: bool, acts: &mut Vec<Action>) {
+    /// Takes in what is said of a member.
+    fn believe(&mut self, now: Millis, claim: Claim, from: From, acts: &mut Vec<Action>) {
+        let own = from == From::Own;
         if claim.of.name == self.me.name {
             if claim.of.at == self.me.at && claim.of.born > self.me.born && !self.left {
                 // The process before this one had a clock that was ahead: this one is the later start all the same.
@@ -614,12 +680,12 @@
             return;
         }
         let span = self.suspicion();
-        let tell = self.tells();
-        let taken = |m: &Member| m.id.number == claim.of.number && m.id.name != claim.of.name;
-        let other = self.members.values().find(|m| taken(m) && m.state <= State::Suspect);
+        // What was an answer the others know, unless it is grave.
+        let tell = if from == From::Answer && claim.state == State::Alive { 0 } else { self.tells() };
+        let taken = self.numbers.get(&claim.of.number).is_some_and(|name| *name != claim.of.name);
         if claim.of.number >= self.size
             || claim.of.number == self.me.number
-            || (claim.state <= State::Suspect && other.is_some())
+            || (claim.state <= State::Suspect && taken)
         {
             return self.counts.refused += 1;
         }
@@ -636,8 +702,11 @@
                 let at = self.rng.usize(..=self.order.len());
                 self.order.insert(at, id.name.clone());
                 let incarnation = claim.incarnation;
-                let member = Member { id, incarnation, state, since: now, doubt, tell };
-                self.members.insert(member.id.name.clone(), member);
+                let member = Member { id, incarnation, state, since: now, doubt, tell: 0 };
+                let name = member.id.name.clone();
+                self.members.insert(name.clone(), member);
+                self.index(&name);
+                self.retell(&name, tell);
             }
             Some(member) => {
                 let moved = member.id.at != claim.of.at;
@@ -657,12 +726,41 @@
                     member.since = now;
                     acts.push(Action::Changed(claim.of.clone(), Some(before), claim.state));
                 }
+                let (name, number) = (claim.of.name.clone(), member.id.number);
                 (member.id, member.incarnation) = (claim.of, claim.incarnation);
-                (member.doubt, member.tell) = (doubt, tell);
+                member.doubt = doubt;
+                if self.numbers.get(&number) == Some(&name) {
+                    self.numbers.remove(&number);
+                }
+                self.index(&name);
+                self.retell(&name, tell);
             }
         }
     }
 
+    /// Has the sets that are kept beside the members follow one of them.
+    fn index(&mut self, name: &str) {
+        let Some(member) = self.members.get(name) else { return };
+        if member.state <= State::Suspect {
+            self.numbers.insert(member.id.number, name.to_owned());
+        }
+        if member.state == State::Alive {
+            self.odd.remove(name);
+        } else {
+            self.odd.insert(name.to_owned());
+        }
+    }
+
+    /// What is known of a member is to be sent on so often from now on.
+    fn retell(&mut self, name: &str, tell: u32) {
+        let Some(member) = self.members.get_mut(name) else { return };
+        let old = (Reverse(std::mem::replace(&mut member.tell, tell)), name.to_owned());
+        self.telling.remove(&old);
+        if tell > 0 {
+            self.telling.insert((Reverse(tell), old.1));
+        }
+    }
+
     /// What operators have said.
     pub fn notices(&self) -> &Notices {
         &self.notices
--- a/src/cluster/notices.rs
+++ b/src/cluster/notices.rs
@@ -70,6 +70,7 @@
 pub struct Notices {
     all: BTreeMap<Subject, (Notice, u32)>,
     latest: u64,
+    digest: u32,
     /// Words that were not believed.
     refused: u64,
 }
@@ -112,9 +113,10 @@
         self.all.insert(word.of.clone(), (word, tells));
         while self.all.len() > MOST {
             let oldest = self.all.values().map(|(word, _)| word).min_by_key(|word| (word.holds, word.at));
-            let Some(of) = oldest.map(|word| word.of.clone()) else { return };
+            let Some(of) = oldest.map(|word| word.of.clone()) else { break };
             self.all.remove(&of);
         }
+        self.digest = self.sum();
     }
 
     /// Whether a word of this subject holds.
@@ -134,6 +136,10 @@
 
     /// The same for all who know the same; 0 for nothing.
     pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    fn sum(&self) -> u32 {
         if self.all.is_empty() {
             return 0;
         }
@@ -213,7 +219,9 @@
     }
 
     fn know(notices: &mut Notices, words: &[Notice]) {
-        words.iter().for_each(|word| drop(notices.heard(1e12, word.clone(), 1)));
+        for word in words {
+            notices.heard(1e12, word.clone(), 1);
+        }
     }
 
     #[test]
--- a/src/cluster/packet.rs
+++ b/src/cluster/packet.rs
@@ -10,7 +10,7 @@
 pub const NAME: usize = 48;
 /// Begins each datagram; the last byte is the version.
 const MAGIC: [u8; 4] = *b"whc\x01";
-/// The same where notices follow: those of a version that knows none are sent, and read, as long as there are none.
+/// The same where notices follow: a version that knows none is sent the form before as long as there are none.
 const NOTICES: [u8; 4] = *b"whc\x02";
 /// Magic, fleet and checksum.
 const HEADER: usize = 4 + 8 + 4;
@@ -77,6 +77,8 @@
     News,
     /// Brings notices alone.
     Said,
+    /// Asks for all that the receiver knows in each part of the fleet of which these are not the checksums.
+    Compare(Vec<u32>),
 }
 
 /// A datagram.
@@ -122,7 +124,8 @@
     /// Its bytes; none where it is too long.
     pub fn write(&self, fleet: u64) -> Option<Vec<u8>> {
         let mut body = postcard::to_allocvec(self).ok()?;
-        let plain = self.digest == 0 && self.notices.is_empty() && self.body != Body::Said;
+        let old = !matches!(self.body, Body::Said | Body::Compare(_));
+        let plain = self.digest == 0 && self.notices.is_empty() && old;
         if !plain {
             body.extend_from_slice(&postcard::to_allocvec(&(&self.notices, self.digest)).ok()?);
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -398,7 +398,7 @@
 
     /// This gateway's part of the customer's recent demand.
     fn part(&self, now: Millis, customer: &Customer) -> f64 {
-        let even = 1.0 / f64::from(customer.spread.max(1));
+        let even = customer.even();
         let own = customer.asked.per_second(now, DEMAND_TAU);
         let others = customer.asked_elsewhere(now, DEMAND_TAU);
         if customer.spread <= 1 || !self.hears(now, customer) {
@@ -413,7 +413,7 @@
     /// What the customer's bucket holds here; each report settles what the others really drew.
     fn available(&mut self, now: Millis, id: CustomerId) -> f64 {
         let Some(customer) = self.customers.get(&id) else { return 0.0 };
-        let plan = self.plan(customer.plan);
+        let (plan, living) = (self.plan(customer.plan), self.living_of(customer));
         let (hears, part) = (self.hears(now, customer), self.part(now, customer));
         // Prevents gateways that see the same units from all granting them before they hear of each other:
         // what others may draw meanwhile stays in the store, so that a second grant still finds its units.
@@ -421,6 +421,7 @@
         let ahead = (customer.asked_elsewhere(now, DEMAND_TAU) * AHEAD / 1000.0).min(most);
         let rate = if self.source == Source::Meter { plan.rate * part } else { plan.rate };
         let Some(customer) = self.customers.get_mut(&id) else { return 0.0 };
+        customer.living = living;
         let (store, slice) = customer.fill(now, rate, &plan, self.set.largest.max(1.0));
         if hears {
             (store - ahead).max(slice).min(store)
--- a/src/state.rs
+++ b/src/state.rs
@@ -240,6 +240,17 @@
         whole && self.set_of(customer).all(heard) || most()
     }
 
+    /// How many of a customer's set live, this gateway among them, where more than half of all do; 0 where that is not
+    /// known. Prevents the slice of a dead gateway from lying idle where nothing is heard of the others; those that are
+    /// cut off keep to the slices of all.
+    pub(crate) fn living_of(&self, customer: &Customer) -> u16 {
+        let Some(living) = &self.living else { return 0 };
+        if 2 * living.iter().filter(|lives| **lives).count() <= usize::from(self.set.gateways) {
+            return 0;
+        }
+        1 + self.set_of(customer).filter(|id| self.lives(*id)).count() as u16
+    }
+
     /// What others have out for a customer; of a peer not heard of since then, what it had is over.
     pub(crate) fn out_elsewhere(&self, customer: &Customer, since: Millis) -> f64 {
         let lives =
@@ -520,6 +531,9 @@
 pub(crate) struct Customer {
     pub(crate) plan: PlanId,
     pub(crate) spread: u16,
+    /// How many of these are known to live, where the fleet is whole; 0: all count.
+    #[serde(skip)]
+    pub(crate) living: u16,
     pub(crate) first: GatewayId,
     /// The customer's whole store as far as known.
     pub(crate) store: Bucket,
@@ -759,6 +773,7 @@
         Self {
             plan: request.plan,
             spread,
+            living: 0,
             first: request.first,
             store: Bucket::new(store, started),
             slice: Bucket::new(store, started),
@@ -791,11 +806,16 @@
 impl Customer {
     /// Fills both stores up to `now` and tells their levels; the slice holds `least` at the least when full.
     pub(crate) fn fill(&mut self, now: Millis, rate: f64, plan: &Plan, least: f64) -> (f64, f64) {
-        let n = f64::from(self.spread.max(1));
+        let n = 1.0 / self.even();
         let store = self.store.fill(now, rate, plan.burst);
         (store, self.slice.fill(now, plan.rate / n, (plan.burst / n).max(least.min(plan.burst))))
     }
 
+    /// The even slice of the quota, as a part of it: those of its set that are known to be dead have none.
+    pub(crate) fn even(&self) -> f64 {
+        1.0 / f64::from(if self.living > 0 { self.living } else { self.spread.max(1) })
+    }
+
     /// What is asked of the other gateways, in units a second.
     pub(crate) fn asked_elsewhere(&self, now: Millis, tau: Millis) -> f64 {
         let told: f64 = self.told.values().map(|t| t.asked.per_second(now, tau)).sum();
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -42,6 +42,25 @@
     assert_eq!((0..50).filter(|_| bench.serve(1, 1.0, 2)).count(), 5, "half the rate");
 }
 
+#[test]
+fn the_slices_of_the_dead_go_to_the_living_while_most_live_and_the_ceiling_stays() {
+    let granted = |living: [bool; 3], plan: Plan| {
+        let mut bench = Bench::new(settings(plan), 10);
+        bench.limiter.living(Some(living.to_vec()));
+        bench.wait(60_000.0);
+        bench.serve(1, 1.0, 3);
+        bench.wait(60_000.0);
+        let burst = (0..50).filter(|_| bench.serve(1, 1.0, 3)).count();
+        bench.wait(1000.0);
+        (burst, (0..50).filter(|_| bench.serve(1, 1.0, 3)).count())
+    };
+    assert_eq!(granted([true; 3], plan()), (6, 4), "a third of each");
+    assert_eq!(granted([true, true, false], plan()), (10, 5), "a half of each");
+    assert_eq!(granted([true, false, false], plan()), (6, 4), "cut off, perhaps: a third");
+    let ceiling = Plan { ceiling_rate: 12.0, ceiling_burst: 21.0, ..plan() };
+    assert_eq!(granted([true, true, false], ceiling), (7, 4), "a third of the ceiling");
+}
+
 #[test]
 fn what_peers_drew_is_settled_and_their_silence_falls_to_the_slice() {
     let mut bench = Bench::new(with_peers(plan()), 10);
