--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -251,6 +251,11 @@
         self.members.values().map(|m| (&m.id, m.state, m.since))
     }
 
+    /// The newest word of a member of this name that is believed here: its start, and its own count.
+    pub fn word(&self, name: &str) -> Option<(u64, u32)> {
+        self.members.get(name).map(|m| (m.id.born, m.incarnation))
+    }
+
     /// Which numbers live, this instance's own included; none while it does not know: before it has joined, and after a
     /// standstill until it has asked.
     pub fn living(&self) -> Option<Vec<bool>> {
