Knock at a silent agent until it speaks: a fleet's pauses are not for an agent of one's own

Logs: each of 300 watches is silent at 6.6 s and begun anew after up to 15 s, the pause that grows with the fleet; one begun while the agent is silent is never answered and waited for 4.5 s more. Where lists are pushed the agent is the machine's own and costs the fleet nothing: a further watch is begun each 120 ms until one speaks, at most ten at once. Where the list has to be asked for, nothing changes. Not chosen: pauses bounded for all (floods a shared service); a longer wait for one watch (it never speaks).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,8 +9,11 @@
 use crate::pacing::Pacing;
 use bytes::BytesMut;
 use slog::{Logger, info, warn};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// A watch gives a sign of life every 2 s; one silent for this long is opened anew. With the time for that it
 /// stays below the 6 s after which what discovery has to tell counts as told.
@@ -20,6 +23,12 @@
 /// A watch that fails is opened again after the first at the least, and up to the second or what the fleet needs.
 const BACKOFF: [Millis; 2] = [50.0, 1000.0];
 
+/// Where lists are pushed, an agent of this machine's own is asked, at no cost to others: while it says nothing a further
+/// watch is begun so often, and the oldest of so many given up. Its word counts as told as soon as it has it, so the
+/// first must be open within a drain's grace.
+const KNOCK: Millis = 120.0;
+const KNOCKS: usize = 10;
+
 /// A watch on discovery.
 #[derive(Debug)]
 pub struct Discovery {
@@ -40,8 +49,9 @@
     /// garbage leave the list as it is.
     pub async fn run(self, mut known: Option<u64>, mut tell: impl FnMut(List)) {
         let mut pacing = Pacing::new(self.site.settings.gateways, BACKOFF, self.seed);
+        let pushed = !self.site.settings.list_on_request;
         // Who knows no list cannot serve without one.
-        let mut pause = if known.is_some() { pacing.first() } else { 0.0 };
+        let mut pause = if known.is_some() && !pushed { pacing.first() } else { 0.0 };
         loop {
             let at = self.agent.now();
             tokio::select! {
@@ -59,7 +69,7 @@
                     if heard {
                         pacing.heard();
                     }
-                    pause = pacing.again();
+                    pause = if pushed { 0.0 } else { pacing.again() };
                     info!(self.log, "discovery watch ended"; "why" => why, "again_in_ms" => pause.round());
                 }
                 () = self.agent.moved_from(at) => pause = 0.0,
@@ -69,16 +79,18 @@
 
     /// One watch, until it ends; tells why.
     async fn watch(&self, at: SocketAddr, known: &mut Option<u64>, mut tell: impl FnMut(List)) -> String {
-        let Some(Ok(mut stream)) = self.deadlines.within(CONNECT, connect(at)).await else {
-            return "no connection".into();
-        };
         // Without an index the agent gives the whole list.
         let index = known.map(|known| format!("&index={known}")).unwrap_or_default();
         let ask = format!("GET /v1/endpoints?stream=1{index} HTTP/1.1\r\nHost: {at}\r\n\r\n");
-        if let Err(e) = stream.write_all(ask.as_bytes()).await {
-            return e.to_string();
-        }
         let mut lines = Lines::default();
+        let opened = match self.site.settings.list_on_request {
+            true => open(at, ask, self.deadlines.clone()).await,
+            false => self.knock(at, ask, &mut lines).await,
+        };
+        let mut stream = match opened {
+            Ok(stream) => stream,
+            Err(why) => return why,
+        };
         loop {
             loop {
                 let list = match lines.next() {
@@ -110,6 +122,54 @@
     }
 }
 
+impl Discovery {
+    /// Begins a watch again and again until one says something. Prevents one that the agent never answers, as it was
+    /// begun while discovery was down, from being waited for when others are told already.
+    async fn knock(&self, at: SocketAddr, ask: String, lines: &mut Lines) -> Result<TcpStream, String> {
+        let mut open_ones = JoinSet::new();
+        let mut order = VecDeque::new();
+        loop {
+            let (ask, deadlines) = (ask.clone(), self.deadlines.clone());
+            let one = open_ones.spawn_local(async move {
+                let mut stream = open(at, ask, deadlines).await?;
+                let mut buffer = BytesMut::new();
+                match read_more(&mut stream, &mut buffer).await {
+                    Ok(true) => Ok((stream, buffer)),
+                    Ok(false) => Err("it ended".to_owned()),
+                    Err(e) => Err(e.to_string()),
+                }
+            });
+            order.push_back(one);
+            if order.len() > KNOCKS
+                && let Some(oldest) = order.pop_front()
+            {
+                oldest.abort();
+            }
+            let next = async {
+                while let Some(done) = open_ones.join_next().await {
+                    if let Ok(Ok(opened)) = done {
+                        return opened;
+                    }
+                }
+                std::future::pending().await
+            };
+            if let Some((stream, buffer)) = self.deadlines.within(KNOCK, next).await {
+                lines.buffer = buffer;
+                return Ok(stream);
+            }
+        }
+    }
+}
+
+/// Connects and asks.
+async fn open(at: SocketAddr, ask: String, deadlines: Deadlines) -> Result<TcpStream, String> {
+    let Some(Ok(mut stream)) = deadlines.within(CONNECT, connect(at)).await else {
+        return Err("no connection".into());
+    };
+    stream.write_all(ask.as_bytes()).await.map_err(|e| e.to_string())?;
+    Ok(stream)
+}
+
 /// The lines of a watch's chunked answer, however they are cut.
 #[derive(Debug, Default)]
 pub(super) struct Lines {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 use stand_ins::ingress::*;
 use stand_ins::*;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use weldhub::config::Config;
 
@@ -477,3 +478,39 @@
     let config = Config::read(&told, |name| (name == "RELAY_NAME").then(|| "n7".to_owned())).unwrap();
     assert_eq!(config.instance.name, "n7");
 }
+
+#[test]
+fn an_agent_that_was_silent_is_heard_as_soon_as_it_speaks_though_what_was_asked_before_is_never_answered() {
+    local(async {
+        let server = RealServer::start(ok("e4")).await;
+        let listener = listener().await;
+        let drains = serde_json::json!({"generation": 42, "reset": true,
+            "instances": [service_entry("s1", server.at, 0, "terminating")]});
+        let told =
+            told(listener.local_addr().unwrap(), vec![service_entry("s1", server.at, 0, "in_service")]);
+        let begun = std::time::Instant::now();
+        let silent = tokio::task::spawn_local(async move {
+            // Whoever comes while discovery is down is never answered; it is up when five have come.
+            let mut held = Vec::new();
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                if held.len() >= 5 {
+                    let line = format!("{drains}\n");
+                    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                    let text = format!("{head}{:x}\r\n{line}\r\n", line.len());
+                    stream.write_all(text.as_bytes()).await.unwrap();
+                }
+                held.push(stream);
+            }
+        });
+        let ingress = start(&told).await;
+        while status(&ask(ingress.at, &board("a", 900, 1)).await) == 200 {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        }
+        // Not for the quota, which has 27 units.
+        assert!(server.count() < 25, "{}", server.count());
+        // Each of the five would be waited for until it has been silent for 4.5 s, one after the other.
+        assert!(begun.elapsed() < std::time::Duration::from_secs(9));
+        silent.abort();
+    });
+}
