Say how far an instance has come back: four phases at the door and in the log, and on the rig

Need: after most were killed nobody could tell who is back and what is missing. A pure module holds the phase, what ends it and the time in each; the door's `recovery` tells it, one log line a step. Nothing is decided by it yet. Tests: src/recovery.rs, tests/fleet.rs (a stopped process is partial until it has asked).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod node;
 pub mod pacing;
 mod prng;
+pub mod recovery;
 pub mod rules;
 mod state;
 pub mod stats;
--- a/src/management.rs
+++ b/src/management.rs
@@ -9,6 +9,7 @@
 use crate::interface::Millis;
 use crate::maintenance::write_bans;
 use crate::net::server_side::{Drain, Phase, Role};
+use crate::recovery::Recovery;
 use crate::stats::Stats;
 use crate::succession::Other;
 use slog::{Logger, info, warn};
@@ -65,6 +66,8 @@
     Operate(Operation),
     /// What operators have said, at any door.
     Notices,
+    /// How far this instance has come back.
+    Recovery,
     /// Send clients away.
     Drain,
     /// The end of that.
@@ -84,6 +87,7 @@
             (Some("show-stat"), None, None) => Ok(Self::ShowStat),
             (Some("members"), None, None) => Ok(Self::Members),
             (Some("notices"), None, None) => Ok(Self::Notices),
+            (Some("recovery"), None, None) => Ok(Self::Recovery),
             (Some("drain"), None, None) => Ok(Self::Drain),
             (Some("resume"), None, None) => Ok(Self::Resume),
             (Some("drain"), Some(name), None) => Ok(Self::Other(name.to_owned(), true)),
@@ -91,7 +95,7 @@
             (Some("disable-server"), Some(id), None) => Ok(Self::Operate(Operation::Disable(id.to_owned()))),
             (Some("enable-server"), Some(id), None) => Ok(Self::Operate(Operation::Enable(id.to_owned()))),
             (Some("disable-server" | "enable-server"), ..) => Err("one server id is needed"),
-            (Some("ready" | "show-stat" | "members" | "notices" | "drain" | "resume"), ..) => {
+            (Some("ready" | "show-stat" | "members" | "notices" | "recovery" | "drain" | "resume"), ..) => {
                 Err("the call takes nothing more")
             }
             (None, ..) => Err("an empty call"),
@@ -125,6 +129,8 @@
     pub deadlines: Deadlines,
     /// What is known of the fleet's ingresses, where they tell each other.
     pub cluster: Option<(Shared, mpsc::UnboundedSender<Said>)>,
+    /// How far this instance has come back.
+    pub recovery: Rc<RefCell<Recovery>>,
     /// Where calls are logged.
     pub log: Logger,
 }
@@ -230,6 +236,10 @@
                 }
                 None => "fail no cluster is set\n".to_owned(),
             },
+            Call::Recovery => {
+                let now = self.door.deadlines.clock().now();
+                format!("{}eof\n", self.door.recovery.borrow().text(now))
+            }
             Call::Other(name, drained) => self.other(name, drained),
             Call::Operate(operation) => {
                 let log = &self.door.log;
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,6 +27,7 @@
 use crate::net::peers::Peers;
 use crate::net::server_side::{Drain, Phase, Role, Room, ServerSide, Signals};
 use crate::net::stream::Way;
+use crate::recovery::{self, Heard, Recovery};
 use crate::state::Limiter;
 use crate::stats::Stats;
 use crate::succession::{Leaving, Other, Succession};
@@ -142,6 +143,40 @@
     }
 }
 
+/// How far this instance has come back, with a line in the log for each step.
+#[derive(Debug, Clone)]
+struct Return {
+    recovery: Rc<RefCell<Recovery>>,
+    deadlines: Deadlines,
+    log: Logger,
+}
+
+impl Return {
+    fn heard(&self, what: Heard) {
+        let change = self.recovery.borrow_mut().heard(self.deadlines.clock().now(), what);
+        self.say(change);
+    }
+
+    fn say(&self, change: Option<(recovery::Stage, recovery::Stage, Millis)>) {
+        if let Some((before, stage, span)) = change {
+            info!(self.log, "coming back"; "stage" => stage.name(), "before" => before.name(), "ms" => span.round());
+        }
+    }
+
+    /// It serves; some time later it is whole, if nothing else is missing.
+    fn serving(self) {
+        self.heard(Heard::Serving);
+        let due = self.recovery.borrow().due();
+        if let Some(due) = due {
+            spawn_local(async move {
+                self.deadlines.sleep((due - self.deadlines.clock().now()).max(0.0) + 1.0).await;
+                let change = self.recovery.borrow_mut().tick(self.deadlines.clock().now());
+                self.say(change);
+            });
+        }
+    }
+}
+
 /// What both fronts have in common: an engine with its ways to the counter and the peers.
 struct Core<Q, A> {
     deadlines: Deadlines,
@@ -159,6 +194,7 @@
     role: watch::Sender<Role>,
     other: Other,
     ended: mpsc::UnboundedReceiver<AttemptEnd>,
+    back: Return,
 }
 
 impl<Q: Clone + 'static, A: 'static> Core<Q, A> {
@@ -171,6 +207,12 @@
         log: &Logger,
     ) -> io::Result<Self> {
         let deadlines = Deadlines::new(Clock::new());
+        let begun = Recovery::new(instance.cluster.is_some(), deadlines.clock().now());
+        let recovery = Rc::new(RefCell::new(begun));
+        let back = Return { recovery, deadlines: deadlines.clone(), log: log.clone() };
+        if known.as_ref().is_some_and(|known| !known.entries.is_empty()) {
+            back.heard(Heard::List);
+        }
         // Before all else: operators are to be answered whatever follows.
         let door = match instance.management {
             Some(at) => {
@@ -231,8 +273,11 @@
                 deadlines: deadlines.clone(),
                 log: log.clone(),
             };
-            let exchange = exchange.clone();
+            let (exchange, back) = (exchange.clone(), back.clone());
             spawn_local(wire.run(move |told| {
+                if let wire::Told::Living(living) = &told {
+                    back.heard(Heard::View(living.is_some()));
+                }
                 exchange.tell(match told {
                     wire::Told::Living(living) => News::Living(living),
                     wire::Told::Server(name, out) => News::Ordered(name, out),
@@ -278,6 +323,7 @@
                 engine: Box::new(engine),
                 bans,
                 cluster,
+                recovery: back.recovery.clone(),
                 deadlines: deadlines.clone(),
                 log: log.clone(),
             };
@@ -297,6 +343,7 @@
             role,
             other,
             ended,
+            back,
         })
     }
 
@@ -306,8 +353,9 @@
 
     /// Where lists are told.
     fn teller(&self) -> impl FnMut(List) + use<Q, A> {
-        let (exchange, told) = (self.exchange.clone(), self.told.clone());
+        let (exchange, told, back) = (self.exchange.clone(), self.told.clone(), self.back.clone());
         move |list| {
+            back.heard(Heard::Told);
             exchange.tell(News::Listed(list));
             told.send_replace(true);
         }
@@ -355,6 +403,7 @@
         let mut role = self.role.subscribe();
         let _ = role.wait_for(|role| *role != Role::Waiting).await;
         self.phase.send_replace(Phase::Serving);
+        self.back.clone().serving();
         info!(log, "serving"; "name" => &instance.name, "listen" => %instance.listen);
         tokio::select! {
             _ = stop => {}
--- /dev/null
+++ b/src/recovery.rs
@@ -0,0 +1,192 @@
+//! How far an instance has come back after its start: what it has heard, what is missing, and how long each phase took. No
+//! I/O and no clock of its own; `docs/recovery.md` tells why it is as it is.
+
+use crate::interface::Millis;
+use std::fmt::Write;
+
+/// So long an instance serves before it is whole: what the others grant is heard meanwhile.
+const HEARING: Millis = 3000.0;
+
+/// How far an instance is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It has started, and knows no list.
+    Begun,
+    /// It has a list of a time before, and waits for word.
+    Listening,
+    /// It serves, and something is missing.
+    Partial,
+    /// Nothing is.
+    Whole,
+}
+
+impl Stage {
+    const ALL: [Self; 4] = [Self::Begun, Self::Listening, Self::Partial, Self::Whole];
+
+    /// Its name at the door and in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Begun => "begun",
+            Self::Listening => "listening",
+            Self::Partial => "partial",
+            Self::Whole => "whole",
+        }
+    }
+}
+
+/// Something that an instance has come to know, or to lack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It has a list, of whatever age.
+    List,
+    /// Discovery, or Consul, has told it one.
+    Told,
+    /// It serves.
+    Serving,
+    /// It knows who of the fleet lives, or no longer does.
+    View(bool),
+}
+
+/// An instance's return.
+#[derive(Debug, Clone)]
+pub struct Recovery {
+    /// It is in a fleet whose members tell each other who lives.
+    fleet: bool,
+    begun: Millis,
+    list: bool,
+    told: bool,
+    view: bool,
+    serving: Option<Millis>,
+    stage: Stage,
+    since: Millis,
+    /// The time spent in each stage before this one.
+    spent: [Millis; 4],
+    /// From the start to the first time that it was whole.
+    whole: Option<Millis>,
+}
+
+impl Recovery {
+    /// An instance that starts now; `fleet` says whether it is to know who lives.
+    pub fn new(fleet: bool, now: Millis) -> Self {
+        Self {
+            fleet,
+            begun: now,
+            list: false,
+            told: false,
+            view: false,
+            serving: None,
+            stage: Stage::Begun,
+            since: now,
+            spent: [0.0; 4],
+            whole: None,
+        }
+    }
+
+    /// Takes in what was heard; tells a change of stage, with how long the one before it took.
+    pub fn heard(&mut self, now: Millis, what: Heard) -> Option<(Stage, Stage, Millis)> {
+        match what {
+            Heard::List => self.list = true,
+            Heard::Told => (self.list, self.told) = (true, true),
+            Heard::Serving => self.serving = Some(self.serving.unwrap_or(now)),
+            Heard::View(known) => self.view = known,
+        }
+        self.tick(now)
+    }
+
+    /// The same where only time has passed.
+    pub fn tick(&mut self, now: Millis) -> Option<(Stage, Stage, Millis)> {
+        let missing = self.missing(now).next().is_some();
+        let stage = match (self.serving, self.list) {
+            (Some(_), _) if missing => Stage::Partial,
+            (Some(_), _) => Stage::Whole,
+            (None, true) => Stage::Listening,
+            (None, false) => Stage::Begun,
+        };
+        if stage == self.stage {
+            return None;
+        }
+        let (before, span) = (self.stage, (now - self.since).max(0.0));
+        self.spent[before as usize] += span;
+        (self.stage, self.since) = (stage, now);
+        if stage == Stage::Whole {
+            self.whole.get_or_insert(now - self.begun);
+        }
+        Some((before, stage, span))
+    }
+
+    /// When time alone may change something; none where it cannot.
+    pub fn due(&self) -> Option<Millis> {
+        self.serving.map(|at| at + HEARING).filter(|_| self.stage == Stage::Partial)
+    }
+
+    /// How far it is.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// What it lacks.
+    pub fn missing(&self, now: Millis) -> impl Iterator<Item = &'static str> {
+        let heard = self.serving.is_some_and(|at| now >= at + HEARING);
+        let all = [
+            ("list", self.told),
+            ("view", self.view || !self.fleet),
+            ("serving", self.serving.is_some()),
+            ("hearing", heard),
+        ];
+        all.into_iter().filter(|(_, has)| !has).map(|(what, _)| what)
+    }
+
+    /// What the door says: the stage and how long it has lasted, what is missing, the time spent in each, and how long it took
+    /// until the instance was first whole; times in milliseconds.
+    pub fn text(&self, now: Millis) -> String {
+        let mut text = String::new();
+        let _ = writeln!(text, "stage {} {:.0}", self.stage.name(), (now - self.since).max(0.0));
+        for what in self.missing(now) {
+            let _ = writeln!(text, "missing {what}");
+        }
+        for stage in Stage::ALL {
+            let here = if stage == self.stage { (now - self.since).max(0.0) } else { 0.0 };
+            let _ = writeln!(text, "spent {} {:.0}", stage.name(), self.spent[stage as usize] + here);
+        }
+        if let Some(whole) = self.whole {
+            let _ = writeln!(text, "whole_after {whole:.0}");
+        }
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_phase_ends_with_what_ends_it_and_nothing_else() {
+        let mut back = Recovery::new(true, 1000.0);
+        assert_eq!((back.stage(), back.due()), (Stage::Begun, None));
+        assert_eq!(back.heard(1100.0, Heard::View(true)), None, "without a list nothing begins");
+        assert_eq!(back.heard(1200.0, Heard::List), Some((Stage::Begun, Stage::Listening, 200.0)));
+        assert_eq!(back.heard(2200.0, Heard::Serving), Some((Stage::Listening, Stage::Partial, 1000.0)));
+        assert_eq!(back.tick(9000.0), None, "discovery has not told a list: it serves as it is");
+        assert_eq!(back.missing(9000.0).collect::<Vec<_>>(), ["list"]);
+        assert_eq!(back.heard(9100.0, Heard::Told), Some((Stage::Partial, Stage::Whole, 6900.0)));
+        // A standstill takes the view away.
+        assert_eq!(back.heard(9500.0, Heard::View(false)), Some((Stage::Whole, Stage::Partial, 400.0)));
+        assert_eq!(back.heard(9900.0, Heard::View(true)), Some((Stage::Partial, Stage::Whole, 400.0)));
+        let text = back.text(10_000.0);
+        for line in ["stage whole 100", "spent partial 7300", "spent whole 500", "whole_after 8100"] {
+            assert!(text.contains(line), "{line}: {text}");
+        }
+    }
+
+    #[test]
+    fn what_the_others_grant_is_heard_for_a_while_before_it_is_whole() {
+        let mut alone = Recovery::new(false, 0.0);
+        alone.heard(10.0, Heard::Told);
+        alone.heard(20.0, Heard::Serving);
+        let due = alone.due().unwrap();
+        assert_eq!(alone.tick(due - 1.0), None);
+        assert_eq!(alone.tick(due), Some((Stage::Partial, Stage::Whole, HEARING)));
+        assert_eq!(alone.due(), None);
+        assert_eq!(alone.heard(due + 5.0, Heard::View(false)), None, "there is no fleet to see");
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -94,6 +94,13 @@
             fleet.start(n).await;
         }
         fleet.agree(&[0, 1, 2, 3, 4], &["alive"; 5]).await;
+        // What is missing is said; with discovery's word, and some time, nothing is.
+        let back = async |n: usize| call(fleet.at[n].1, "recovery\n").await;
+        assert!(back(2).await.contains("stage partial") && back(2).await.contains("missing list"));
+        fleet.agent.say(42, true, Vec::new());
+        while !back(2).await.contains("stage whole") {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
         // Killed: known to all, and a restart at the same address is a newer one.
         let mut killed = fleet.programs[4].take().unwrap();
         killed.child.kill().unwrap();
@@ -107,7 +114,10 @@
         stopped.signal("STOP");
         fleet.agree(&[0, 1, 3, 4], &["alive", "alive", "dead", "alive", "alive"]).await;
         stopped.signal("CONT");
-        fleet.programs[2].as_mut().unwrap().says("this process stood still").await;
+        // Until somebody has told it who lives, it has not come back whole.
+        for line in ["this process stood still", "stage: partial", "stage: whole"] {
+            fleet.programs[2].as_mut().unwrap().says(line).await;
+        }
         fleet.agree(&[0, 1, 2, 3, 4], &["alive"; 5]).await;
         // Told to stop: it has left, and is never taken for dead.
         let leaving = fleet.programs[1].as_mut().unwrap();
--- a/trials/src/check.rs
+++ b/trials/src/check.rs
@@ -58,6 +58,10 @@
     pub ends: [u64; 3],
     /// Datagrams that came to the relay, and those it passed on.
     pub datagrams: [u64; 2],
+    /// The processor time of each process that runs at the end, in milliseconds.
+    pub processor: Vec<f64>,
+    /// How far each says that it has come back, and how long after its last start it was first whole, in milliseconds.
+    pub back: Vec<Option<(String, Option<u64>)>>,
     /// Operators' calls that were answered.
     pub yes: Vec<Yes>,
     /// What the stand-ins saw.
@@ -73,6 +77,9 @@
     pub ban: i64,
     /// The most that was sent on of a customer's, as a part of its ceiling.
     pub ceiling: f64,
+    /// From the start of ingresses that were killed until, over a second, nine of ten requests reach real servers again of
+    /// those that did in the 4 s before the kill; the longest, in milliseconds.
+    pub back: i64,
 }
 
 /// An ingress's time that it stood still or was cut off, widened by what a suspicion may take.
@@ -103,10 +110,13 @@
 pub fn check(script: &Script, outcome: &Outcome) -> (Vec<String>, Figures) {
     let mut broken = Vec::new();
     let mut figures = Figures::default();
-    views(script, outcome, &mut broken);
+    if script.membership {
+        views(script, outcome, &mut broken);
+    }
     drains(script, outcome, &mut figures, &mut broken);
     words(script, outcome, &mut figures, &mut broken);
     ceilings(script, outcome, &mut figures, &mut broken);
+    returns(script, outcome, &mut figures, &mut broken);
     let (asked, ended) = (outcome.asked.len() as u64, outcome.ends.iter().sum::<u64>());
     if ended != asked {
         broken.push(format!("{asked} requests were asked and {ended} came to an end"));
@@ -202,6 +212,28 @@
     }
 }
 
+/// All that run say at the end that they have come back whole; and how long the fleet took to serve what it served.
+fn returns(script: &Script, outcome: &Outcome, figures: &mut Figures, broken: &mut Vec<String>) {
+    for (n, back) in outcome.back.iter().enumerate().filter(|(n, _)| outcome.run[*n]) {
+        if back.as_ref().is_none_or(|(stage, _)| stage != "whole") {
+            broken.push(format!("the end: {n} has come back so far: {back:?}"));
+        }
+    }
+    let at: Vec<i64> = outcome.record.arrivals.iter().map(|arrival| arrival.at).collect();
+    let within = |from: i64, to: i64| at.partition_point(|a| *a < to) - at.partition_point(|a| *a < from);
+    for (i, fault) in script.faults.iter().enumerate() {
+        let What::Start(of) = &fault.what else { continue };
+        let killed =
+            |before: &&crate::script::Fault| matches!(&before.what, What::Kill(k) if k.contains(&of[0]));
+        let Some(kill) = script.faults[..i].iter().rev().find(killed) else { continue };
+        let (kill, start) = (kill.at as i64, fault.at as i64);
+        let usual = within(kill - 4000, kill) as f64 / 4.0;
+        let again = (start..script.length as i64 - 3000).step_by(100);
+        let again = again.filter(|_| usual > 0.0).find(|t| within(*t, t + 1000) as f64 >= 0.9 * usual);
+        figures.back = figures.back.max(again.map_or(0, |t| t - start));
+    }
+}
+
 /// What was sent on of each customer's stays below the ceiling, by a bucket that fills at its rate.
 fn ceilings(script: &Script, outcome: &Outcome, figures: &mut Figures, broken: &mut Vec<String>) {
     let plan = &script.plan;
@@ -272,6 +304,8 @@
             asked: vec![(7, 2); 10],
             ends: [8, 1, 1],
             datagrams: [0; 2],
+            processor: Vec::new(),
+            back: vec![Some(("whole".into(), Some(3100))); 4],
             yes: vec![
                 Yes { at: 1000, by: 0, server: 0, out: true },
                 Yes { at: 9000, by: 1, server: 0, out: false },
@@ -313,6 +347,8 @@
         assert_eq!(broken(|o| o.record.arrivals[1].at = 2900), 1);
         assert_eq!(broken(|o| o.record.arrivals[0].at = 1900), 1);
         assert_eq!(broken(|o| o.record.arrivals[3].at = 6900), 1);
+        // One that lacks something at the end.
+        assert_eq!(broken(|o| o.back[1] = Some(("partial".into(), None))), 1);
         // A word that was not heard, one that still holds.
         assert_eq!(broken(|o| o.words[1] = Some(Vec::new())), 1);
         assert_eq!(broken(|o| o.words.fill(Some(vec!["s0 server out by 1".into()]))), 1);
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -78,6 +78,19 @@
             "  latest after a drain's word {} ms, after an operator's {} ms; most of a ceiling {most:.2}",
             figures.drain, figures.ban
         );
+        let mut after: Vec<u64> = outcome.back.iter().flatten().filter_map(|(_, after)| *after).collect();
+        after.sort_unstable();
+        println!(
+            "  whole after {} ms (median), {} ms (last); nine of ten served again {} ms after a start",
+            after.get(after.len() / 2).unwrap_or(&0),
+            after.last().unwrap_or(&0),
+            figures.back
+        );
+        let used: f64 = outcome.processor.iter().sum();
+        println!(
+            "  {used:.0} ms of processor time, {:.3} ms a request",
+            used / outcome.asked.len().max(1) as f64
+        );
         broken.iter().for_each(|what| println!("  BROKEN {what}"));
         println!("  {}", if broken.is_empty() { "holds" } else { "does not hold" });
         whole &= broken.is_empty();
--- a/trials/src/rig.rs
+++ b/trials/src/rig.rs
@@ -58,6 +58,15 @@
 }
 
 impl Process {
+    /// The processor time that it has used, in milliseconds; 0 where that is not told.
+    fn processor(&self) -> f64 {
+        let stat = |child: &Child| std::fs::read_to_string(format!("/proc/{}/stat", child.id())).ok();
+        let text = self.child.as_ref().and_then(stat).unwrap_or_default();
+        // After the name in brackets: the 12th and 13th fields, in hundredths of a second.
+        let fields = text.rsplit(')').next().unwrap_or_default().split_ascii_whitespace();
+        fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() * 10.0
+    }
+
     fn signal(&self, signal: Signal) -> io::Result<()> {
         self.child.as_ref().map_or(Ok(()), |child| send(child, signal))
     }
@@ -138,6 +147,12 @@
     lines.map(line).collect()
 }
 
+/// How far an ingress has come back, as its door tells it, and how long that took at first.
+fn returned(text: &str) -> Option<(String, Option<u64>)> {
+    let word = |key: &str| text.lines().find_map(|line| line.strip_prefix(key)?.split(' ').nth(1));
+    Some((word("stage")?.to_owned(), word("whole_after").and_then(|span| span.parse().ok())))
+}
+
 /// What an ingress of this number is told, but for its sockets.
 fn settings(script: &Script, n: usize) -> Value {
     let class = |name: &str, give_up: f64, effect: &str| json!({"name": name, "aim": 600.0, "giveUp": give_up, "effect": effect, "group": "cell", "window": 6000.0});
@@ -191,6 +206,9 @@
                         "fleet": fleet, "seeds": if count > 1 { &seeds[..] } else { &[] }},
                     "settings": settings(script, n),
                 });
+                if !script.membership {
+                    told.as_object_mut().and_then(|told| told.remove("cluster"));
+                }
                 match script.talk {
                     Talk::None => {}
                     Talk::Counter => told["counter"] = json!(ways.counter.to_string()),
@@ -294,7 +312,9 @@
     /// # Errors
     /// Where a process cannot be started or signalled, or the load cannot be asked.
     pub async fn play(&mut self, script: &Script, mut say: impl FnMut(String)) -> Result<Outcome, String> {
-        self.joined().await?;
+        if script.membership {
+            self.joined().await?;
+        }
         let start = Instant::now();
         self.world.begin();
         self.yes.clear();
@@ -323,7 +343,8 @@
         }
         sleep_until(start + length).await;
         let datagrams = self.ways.borrow().counts;
-        let mut outcome = Outcome { run, datagrams, yes: self.yes.clone(), ..Outcome::default() };
+        let processor = self.processes.iter().map(Process::processor).collect();
+        let mut outcome = Outcome { run, datagrams, processor, yes: self.yes.clone(), ..Outcome::default() };
         for look in looks {
             let (seen, last) = look.await.map_err(|e| e.to_string())?;
             outcome.seen.extend(seen);
@@ -331,6 +352,7 @@
         }
         outcome.seen.sort_by_key(|seen| seen.at);
         for n in 0..count {
+            outcome.back.push(call(self.door(n), "recovery\n").await.as_deref().and_then(returned));
             outcome.words.push(call(self.door(n), "notices\n").await.as_deref().and_then(spoken));
         }
         if let Some(load) = load {
--- a/trials/src/script.rs
+++ b/trials/src/script.rs
@@ -17,6 +17,9 @@
     /// The last so many of them are another fleet's, with the same ones to join by; clients ask them nothing.
     #[serde(default)]
     pub strangers: usize,
+    /// Whether ingresses tell each other who lives; off for comparison.
+    #[serde(default = "yes")]
+    pub membership: bool,
     /// How many stand-in real servers.
     pub servers: usize,
     /// What a stand-in takes for an answer, in milliseconds.
@@ -47,6 +50,10 @@
     pub spoken: u64,
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn one() -> u64 {
     1
 }
