--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -116,6 +116,8 @@
     doubt: Option<(Millis, bool)>,
     /// The claim is still to be sent so often.
     tell: u32,
+    /// The last probe got no answer by any way; the next one decides.
+    missed: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -370,10 +372,16 @@
         if let Some(probe) = self.probe.take().filter(|p| !p.answered) {
             // That helpers say that they tried shows that this instance hears: the fault is not its own.
             self.health = (self.health + u32::from(probe.tried == 0)).min(WORST);
-            if let Some(member) = self.members.get(&probe.name).filter(|m| m.state <= State::Suspect) {
-                let claim =
-                    Claim { of: member.id.clone(), incarnation: member.incarnation, state: State::Suspect };
-                self.believe(now, claim, From::Own, acts);
+            if let Some(member) = self.members.get_mut(&probe.name).filter(|m| m.state <= State::Suspect) {
+                // Prevents what is lost by chance from being told to all as a suspicion: where helpers are heard it is looked
+                // at once more.
+                let chance = probe.tried > 0 && member.state == State::Alive;
+                if chance && !std::mem::replace(&mut member.missed, true) {
+                    self.order.push_front(probe.name);
+                } else {
+                    let (of, incarnation) = (member.id.clone(), member.incarnation);
+                    self.believe(now, Claim { of, incarnation, state: State::Suspect }, From::Own, acts);
+                }
             }
         }
         // The suspect is told at once, again and again, whatever others' news brings.
@@ -632,6 +640,7 @@
                 }
                 if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq && !p.answered) {
                     probe.answered = true;
+                    self.members.get_mut(&probe.name).into_iter().for_each(|m| m.missed = false);
                     self.health = self.health.saturating_sub(1);
                 }
                 self.wanted = self.wanted.saturating_sub(1);
@@ -707,7 +716,7 @@
                 let at = self.rng.usize(..=self.order.len());
                 self.order.insert(at, id.name.clone());
                 let incarnation = claim.incarnation;
-                let member = Member { id, incarnation, state, since: now, doubt, tell: 0 };
+                let member = Member { id, incarnation, state, since: now, doubt, tell: 0, missed: false };
                 let name = member.id.name.clone();
                 self.members.insert(name.clone(), member);
                 self.index(&name);
