--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -371,11 +371,12 @@
         self.relays.retain(|_, relay| relay.until > now);
         if let Some(probe) = self.probe.take().filter(|p| !p.answered) {
             // That helpers say that they tried shows that this instance hears: the fault is not its own.
+            let well = self.health == 0;
             self.health = (self.health + u32::from(probe.tried == 0)).min(WORST);
             if let Some(member) = self.members.get_mut(&probe.name).filter(|m| m.state <= State::Suspect) {
-                // Prevents what is lost by chance from being told to all as a suspicion: where helpers are heard it is looked
-                // at once more.
-                let chance = probe.tried > 0 && member.state == State::Alive;
+                // Prevents what is lost by chance from being told to all as a suspicion: where this instance hears
+                // others, it is looked at once more.
+                let chance = (probe.tried > 0 || well) && member.state == State::Alive;
                 if chance && !std::mem::replace(&mut member.missed, true) {
                     self.order.push_front(probe.name);
                 } else {
