Close no client's connection over unread bytes, and see clients leave behind what they sent

Now the system itself is asked for bytes first, as the runtime may not have seen them; what came is read and answered whole, else the write side is shut and the rest is read out and never sent on. - Connections in the backlog as the drain begins were reset with the listener (`drop(listener)`); they come in as room is had. In an upgrade's old process a copy of the listener let clients into a backlog that nobody accepts from (`Succession::give`); it goes with the drain. - A client that had sent 8 KiB or more ahead was read no further (`buffer.len() < HEAD`), so its end was never seen and its request was sent on. Now reading goes on: a whole message is kept, of more nothing is, up to 8 MiB. - What comes late while the process drains ends with it: its time is cut to what is left.

--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -3,9 +3,9 @@
 
 use super::budget::{Budget, Held};
 use super::client_side::{Answer, Question};
-use super::http::{BODY, Bad, Body, HEAD, Head, Kind, peek_head};
+use super::http::{BODY, Bad, Body, Head, Kind, LONG, MESSAGE, peek_head};
 use super::pieces::{self, Once, PIECE, Piece, Pieces};
-use super::stream::read_more;
+use super::stream::{came, read_more};
 use crate::deadlines::Deadlines;
 use crate::exchange::{Exchange, Terms, Verdict};
 use crate::interface::Millis;
@@ -43,6 +43,9 @@
 const HEADROOM: usize = 4;
 /// Bytes read out at a time.
 const SCRATCH: usize = 64 * 1024;
+/// Of what comes ahead of an answer so many bytes are read at the most: more than a system holds for a connection, so
+/// that the end behind all that a client has sent before it left is seen.
+const FLOOD: usize = 8 << 20;
 
 /// What the front makes of a message.
 #[derive(Debug)]
@@ -132,7 +135,7 @@
     open: Cell<usize>,
     closed: Notify,
     /// Connections that may be closed for others, the oldest first: those that never brought a flow, and those that
-    /// are idle after one. One is closed by dropping its sender.
+    /// are idle after one.
     spare: RefCell<[BTreeMap<u64, Spare>; 2]>,
     turns: Cell<u64>,
     /// Where connections go that another process is to have.
@@ -141,6 +144,8 @@
     ids: RefCell<HashSet<Bytes>>,
     /// Where bytes go that nobody wants.
     scratch: RefCell<Vec<u8>>,
+    /// What is taken in has its answer by then, while this process drains.
+    ends: Cell<Millis>,
     log: Logger,
 }
 
@@ -155,6 +160,8 @@
     pub idle: usize,
     /// Bytes of messages.
     pub budget: Budget,
+    /// Once it drains, all must be answered within this.
+    pub last: Millis,
 }
 
 #[derive(Debug)]
@@ -162,7 +169,20 @@
     since: Millis,
     /// Nothing of a message has come.
     idle: bool,
-    _close: oneshot::Sender<()>,
+    /// Has it closed; where this is dropped, at once, as its place is needed.
+    close: oneshot::Sender<()>,
+}
+
+impl Spare {
+    /// Has the connection closed with care for what may still be on its way.
+    fn close(self) {
+        let _ = self.close.send(());
+    }
+}
+
+/// Has those closed that are idle.
+fn close_idle(spare: &mut BTreeMap<u64, Spare>) {
+    spare.extract_if(.., |_, spare| spare.idle).for_each(|(_, spare)| spare.close());
 }
 
 impl<F: Fn(&Head, Bytes, bool) -> Asked + 'static> ServerSide<F> {
@@ -194,6 +214,7 @@
                 passing,
                 ids,
                 scratch,
+                ends: Cell::new(f64::INFINITY),
                 log,
             }),
         }
@@ -215,15 +236,7 @@
                 // Prevents a flood of connections from using up the descriptors kept for real servers.
                 // Nor are flows turned away while room is soon to be had.
                 accepted = listener.accept(), if active && shared.open.get() < hard && !shared.waits() => match accepted {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nodelay(true);
-                        let full = shared.open.get() >= shared.room.connections;
-                        shared.open.set(shared.open.get() + 1);
-                        let began = Some(shared.deadlines.clock().now());
-                        let (flows, shared) = (Cell::new(false), shared.clone());
-                        let connection = Connection { shared, full, flows };
-                        spawn_local(connection.run(stream, BytesMut::new(), began));
-                    }
+                    Ok((stream, _)) => Self::take(&shared, stream),
                     Err(e) => {
                         warn!(shared.log, "a connection could not be accepted"; "error" => %e);
                         shared.deadlines.sleep(50.0).await;
@@ -242,19 +255,48 @@
                 Ok(()) = drain.changed() => {
                     if *drain.borrow_and_update() == Drain::Closing {
                         info!(shared.log, "clients are sent away"; "connections" => shared.open.get());
-                        shared.spare.borrow_mut()[1].retain(|_, spare| !spare.idle);
+                        close_idle(&mut shared.spare.borrow_mut()[1]);
                     }
                 }
                 _ = phase.wait_for(|phase| *phase == Phase::Draining) => break,
             }
         }
-        drop(listener);
-        shared.spare.borrow_mut().iter_mut().for_each(|spare| spare.retain(|_, spare| !spare.idle));
+        shared.ends.set(shared.deadlines.clock().now() + shared.room.last);
+        shared.spare.borrow_mut().iter_mut().for_each(close_idle);
         info!(shared.log, "draining"; "connections" => shared.open.get());
-        while shared.open.get() > 0 {
+        // Prevents those that the system has accepted from being reset, unread: they come in as room is had. Where another
+        // process has taken over, they are its own.
+        let mut backlog = listener.into_std().ok().filter(|_| *role.borrow() == Role::Active);
+        loop {
+            while shared.open.get() < hard
+                && let Some(listener) = &backlog
+            {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                        stream.into_iter().for_each(|stream| Self::take(&shared, stream));
+                    }
+                    Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                    // All that had come is in.
+                    Err(_) => backlog = None,
+                }
+            }
+            if shared.open.get() == 0 {
+                return;
+            }
             shared.closed.notified().await;
         }
     }
+
+    /// Takes in a connection that a client has opened.
+    fn take(shared: &Rc<Shared<F>>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let full = shared.open.get() >= shared.room.connections;
+        shared.open.set(shared.open.get() + 1);
+        let began = Some(shared.deadlines.clock().now());
+        let connection = Connection { shared: shared.clone(), full, flows: Cell::new(false) };
+        spawn_local(connection.run(stream, BytesMut::new(), began));
+    }
 }
 
 impl<F> Shared<F> {
@@ -288,12 +330,15 @@
     /// Lists a connection as spare; it is to be closed when this resolves. Too many that are idle after a flow are not
     /// kept: clients hold only so many connections, and those that ask once and stay would leave none to the others.
     fn spare(&self, (flows, idle): (bool, bool), since: Millis) -> ((bool, u64), oneshot::Receiver<()>) {
-        let (_close, closing) = oneshot::channel();
+        let (close, closing) = oneshot::channel();
         let turn = self.turns.replace(self.turns.get() + 1);
         let spare = &mut self.spare.borrow_mut()[usize::from(flows)];
-        spare.insert(turn, Spare { since, idle, _close });
-        if flows && spare.len() > self.room.idle {
-            spare.pop_first();
+        spare.insert(turn, Spare { since, idle, close });
+        if flows
+            && spare.len() > self.room.idle
+            && let Some((_, oldest)) = spare.pop_first()
+        {
+            oldest.close();
         }
         ((flows, turn), closing)
     }
@@ -324,8 +369,10 @@
 enum Next {
     /// A message: a short one whole.
     Message(Message),
-    /// It ends between messages, or is closed there.
+    /// It has ended between messages, or its place is needed.
     Over,
+    /// It is closed between messages.
+    Close,
     /// Another process is to have it.
     Pass,
 }
@@ -363,11 +410,16 @@
             let mut held = self.shared.room.budget.hold();
             let said = match self.next(&mut stream, &mut buffer, &mut held, &mut began).await {
                 Ok(Next::Message(message)) => {
-                    let said = self.answer(message, &mut stream, &mut buffer, &mut out).await;
+                    let said = self.answer(message, &mut stream, &mut buffer, &mut held, &mut out).await;
                     let Some(said) = said else { return };
                     said
                 }
                 Ok(Next::Over) => return,
+                Ok(Next::Close) => {
+                    let _ = stream.shutdown().await;
+                    drop((buffer, out));
+                    return self.linger(stream).await;
+                }
                 Ok(Next::Pass) => {
                     let age = began.map(|began| self.shared.deadlines.clock().now() - began);
                     let (bytes, flows) = (buffer, self.flows.get());
@@ -377,12 +429,12 @@
                 Err(wrong) => self.wrong(&mut out, wrong),
             };
             drop(held);
-            let Said { mut close, counts, rest, unread } = said;
+            let Said { mut close, counts, rest, unread, mut ahead } = said;
             if !self.write(&mut stream, &out).await {
                 return;
             }
             if let Some((rest, chunked)) = rest {
-                match self.pass_on(&mut stream, &mut buffer, rest, chunked).await {
+                match self.pass_on(&mut stream, &mut buffer, &mut ahead, rest, chunked).await {
                     Passed::Whole => {}
                     Passed::Broken => {
                         if let Some((taken, _)) = counts {
@@ -401,7 +453,7 @@
             if let Some(unread) = unread {
                 close |= !self.read_out(&mut stream, &mut buffer, unread).await;
             }
-            if close {
+            if close || ahead.flooded {
                 let _ = stream.shutdown().await;
                 drop((buffer, out));
                 return self.linger(stream).await;
@@ -426,6 +478,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
+        ahead: &mut Ahead,
         mut rest: Pieces,
         chunked: bool,
     ) -> Passed {
@@ -434,9 +487,9 @@
             let piece = tokio::select! {
                 biased;
                 piece = rest.recv() => piece,
-                more = read_more(stream, buffer), if buffer.len() < HEAD => match more {
-                    Ok(true) => continue,
-                    _ => return Passed::Left,
+                stays = self.hear_ahead(stream, buffer, ahead, None) => match stays {
+                    true => continue,
+                    false => return Passed::Left,
                 },
             };
             bytes.clear();
@@ -460,7 +513,42 @@
     fn wrong(&self, out: &mut BytesMut, (status, text): Wrong) -> Said {
         let after = (status == 503).then_some(self.shared.retry_after);
         plain(out, status, text, after, true);
-        Said { close: true, counts: None, rest: None, unread: None }
+        Said { close: true, counts: None, rest: None, unread: None, ahead: Ahead::default() }
+    }
+
+    /// Reads what a client says while it waits for its answer, to see whether it stays; false where it has left. What
+    /// comes early is kept for later, up to a whole message; of more nothing is kept, and the connection closes after
+    /// the answer. Prevents a client that has sent much and gone from being taken for one that waits.
+    async fn hear_ahead(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        ahead: &mut Ahead,
+        held: Option<(&mut Held<'_>, usize)>,
+    ) -> bool {
+        let fits = buffer.len() < MESSAGE && held.is_none_or(|(held, body)| held.grow(body + buffer.len()));
+        if fits && !ahead.flooded {
+            return read_more(stream, buffer).await.unwrap_or(false);
+        }
+        if !ahead.flooded {
+            ahead.flooded = true;
+            *buffer = BytesMut::new();
+        }
+        if ahead.dropped > FLOOD {
+            return std::future::pending().await;
+        }
+        // Prevents a flood from keeping this thread to itself.
+        tokio::task::yield_now().await;
+        if stream.readable().await.is_err() {
+            return false;
+        }
+        match stream.try_read(&mut self.shared.scratch.borrow_mut()) {
+            Ok(n) => {
+                ahead.dropped += n;
+                n > 0
+            }
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        }
     }
 
     /// Reads on after the last answer, whatever still comes: prevents a reset from overtaking it. Nothing of it is
@@ -470,10 +558,15 @@
         let now = shared.deadlines.clock().now();
         let (place, closing) = shared.spare((false, false), now);
         let read_out = async {
-            while let Some(Ok(())) = shared.deadlines.within(LINGER[0], stream.readable()).await {
+            let mut read = 0;
+            while read < LONG
+                && let Some(Ok(())) = shared.deadlines.within(LINGER[0], stream.readable()).await
+            {
+                // Prevents a flood from keeping this thread to itself.
+                tokio::task::yield_now().await;
                 match stream.try_read(&mut shared.scratch.borrow_mut()) {
                     Ok(0) => return,
-                    Ok(_) => {}
+                    Ok(n) => read += n,
                     Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                     Err(_) => return,
                 }
@@ -533,9 +626,10 @@
             let closes = self.draining() && (!first || *shared.signals.phase.borrow() == Phase::Draining);
             let spared = if idle { !closes } else { !self.flows.get() };
             let mut spare = spared.then(|| shared.spare((self.flows.get(), idle), began.unwrap_or(0.0)));
+            let at_once = Cell::new(false);
             let closing = async {
                 match &mut spare {
-                    Some((_, closing)) => drop(closing.await),
+                    Some((_, closing)) => at_once.set(closing.await.is_err()),
                     // While draining only what has come already is still read.
                     None if idle => {}
                     None => std::future::pending().await,
@@ -557,10 +651,19 @@
             if let Some((place, _)) = spare {
                 shared.keep(place);
             }
-            match more {
-                Some(true) => {}
+            let closes = match more {
+                Some(true) => continue,
+                Some(false) => return Ok(Next::Over),
                 None if !idle => return Err(TOO_SLOW),
-                _ => return Ok(Next::Over),
+                None => at_once.get(),
+            };
+            // Asked of the system itself: the runtime may not have seen yet what came since it last waited, and a close
+            // over unread bytes would reset the connection.
+            if !came(stream) {
+                return Ok(if closes { Next::Over } else { Next::Close });
+            }
+            if !read_more(stream, buffer).await.unwrap_or(false) {
+                return Ok(Next::Over);
             }
         };
         let mut body = Body::of(&head);
@@ -708,6 +811,7 @@
         message: Message,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
+        held: &mut Held<'_>,
         out: &mut BytesMut,
     ) -> Option<Said> {
         let shared = &self.shared;
@@ -716,7 +820,10 @@
         let unread = rest.is_some();
         let bodiless = head.request_line().0 == b"HEAD";
         let closes = |close: bool| close || head.close || self.full || self.draining();
-        let said = |close: bool, counts| Some(Said { close, counts, rest: None, unread: None });
+        let mut ahead = Ahead::default();
+        let said = |close: bool, counts| {
+            Some(Said { close, counts, rest: None, unread: None, ahead: Ahead::default() })
+        };
         match (shared.read)(&head, body, !unread) {
             Asked::Wrong(status, text) => {
                 let close = closes(unread);
@@ -739,7 +846,7 @@
                 plain(out, 503, "no room", Some(shared.retry_after), true);
                 said(true, Some((shared.stats.take(terms.class), End::Rejected)))
             }
-            Asked::Flow(terms, mut question, id) => {
+            Asked::Flow(mut terms, mut question, id) => {
                 // Prevents a client from taking another's answer, and one id from being out twice.
                 if !shared.ids.borrow_mut().insert(id.clone()) {
                     let close = closes(unread);
@@ -748,6 +855,8 @@
                 }
                 let _id = Id(shared, id);
                 self.flows.set(true);
+                // Prevents one that comes late while this process drains from being lost at its end.
+                terms.left = terms.left.min((shared.ends.get() - shared.deadlines.clock().now()).max(1.0));
                 let taken = shared.stats.take(terms.class);
                 let upload = rest.map(|body| {
                     let (sender, pieces) = pieces::way();
@@ -781,17 +890,17 @@
                         tokio::select! {
                             biased;
                             verdict = &mut waiting => break verdict,
-                            // A client that ends its connection has left; dropping `waiting` says so. What comes early
-                            // waits, and no more of it is taken in than a head may hold.
-                            more = read_more(stream, buffer), if buffer.len() < HEAD => {
-                                if !more.unwrap_or(false) {
+                            // A client that ends its connection has left; dropping `waiting` says so.
+                            stays = self.hear_ahead(stream, buffer, &mut ahead, Some((held, read))) => {
+                                if !stays {
                                     return None;
                                 }
                             }
                         }
                     },
                 };
-                let (mut close, end, before, mut rest) = (closes(false), verdict.end(), out.len(), None);
+                let close = closes(ahead.flooded);
+                let (mut close, end, before, mut rest) = (close, verdict.end(), out.len(), None);
                 match verdict {
                     Verdict::Served(answer) => {
                         // Without a length and without chunks, only the end of the connection tells the end.
@@ -811,7 +920,7 @@
                 if head.old && !close {
                     keep_alive(out, before);
                 }
-                Some(Said { close, counts: Some((taken, end)), rest, unread })
+                Some(Said { close, counts: Some((taken, end)), rest, unread, ahead })
             }
         }
     }
@@ -847,6 +956,17 @@
     rest: Option<(Pieces, bool)>,
     /// What of its body is not read yet: the next message begins after it.
     unread: Option<Body>,
+    /// What came ahead of it.
+    ahead: Ahead,
+}
+
+/// What a client says while it waits for its answer.
+#[derive(Debug, Default)]
+struct Ahead {
+    /// It was more than is kept: nothing of it is.
+    flooded: bool,
+    /// So many bytes were dropped.
+    dropped: usize,
 }
 
 fn what_is_wrong(bad: Bad) -> Wrong {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -2,7 +2,9 @@
 
 use crate::config::Ways;
 use bytes::BytesMut;
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -22,6 +24,11 @@
     Ok(stream.read_buf(buffer).await? > 0)
 }
 
+/// Whether bytes have come that nobody has read, asked of the system itself.
+pub fn came(stream: &TcpStream) -> bool {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|n| n > 0)
+}
+
 /// An address that a new configuration may move.
 #[derive(Debug, Clone)]
 pub struct Way {
--- a/src/node.rs
+++ b/src/node.rs
@@ -503,7 +503,8 @@
             core.watch_consul(&instance, consul, &ways, witness.unwrap_or_default(), &log)
         }
     }
-    let room = Room { connections: flows, turned_away, idle: instance.limits.idle(), budget: budget() };
+    let (idle, last) = (instance.limits.idle(), core.longest);
+    let room = Room { connections: flows, turned_away, idle, budget: budget(), last };
     let reader = site.clone();
     let read = move |head: &_, body, whole| platform::read(head, body, whole, &reader);
     let (signals, stats) = ((core.signals(), passing), core.stats.clone());
--- a/src/succession.rs
+++ b/src/succession.rs
@@ -200,8 +200,15 @@
                 return std::future::pending().await;
             }
         };
+        let mut phase = self.phase.clone();
         loop {
-            match listener.accept().await {
+            let active = *self.role.borrow() == Role::Active;
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // Prevents clients from being taken in by a listener that nobody serves any more.
+                Ok(_) = phase.wait_for(|phase| *phase == Phase::Draining), if active => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     if let Err(e) = self.hand_over(stream, &mut leaving).await {
                         info!(self.log, "the next process is gone"; "why" => %e);
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,371 @@
+//! What crosses on sockets: bytes, ends and signals that come between two steps of an ingress. Each crossing is forced: the
+//! stand-in writes, shuts or signals at a point that was seen, in the turn in which the ingress acts.
+
+mod stand_ins;
+
+use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
+use stand_ins::ingress::*;
+use stand_ins::*;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{JoinHandle, spawn_local};
+use weldhub::config::{Config, Site};
+use weldhub::deadlines::{Clock, Deadlines};
+use weldhub::exchange::{Exchange, News, Verdict};
+use weldhub::fronts::platform;
+use weldhub::net::budget::{Budget, Elsewhere};
+use weldhub::net::client_side::{Answer, Question};
+use weldhub::net::server_side::{Drain, Phase, Role, Room, ServerSide, Signals};
+use weldhub::stats::Stats;
+
+fn site() -> Site {
+    let told = told("127.0.0.1:1".parse().unwrap(), vec![]).to_string();
+    Config::read(&told, |_| None).unwrap().instance.site
+}
+
+/// Sweeps deadlines as an engine does.
+fn sweeps(deadlines: &Deadlines) {
+    let deadlines = deadlines.clone();
+    spawn_local(async move {
+        loop {
+            deadlines.first_due().await;
+            deadlines.sweep(deadlines.clock().now());
+        }
+    });
+}
+
+/// A server side alone: what it sends on is news to the test, which answers and signals in the very turn it wants to.
+struct Side {
+    at: SocketAddr,
+    news: mpsc::UnboundedReceiver<News<Question, Answer>>,
+    phase: watch::Sender<Phase>,
+    _others: (watch::Sender<Role>, watch::Sender<Drain>),
+    running: JoinHandle<()>,
+    deadlines: Deadlines,
+}
+
+impl Side {
+    /// One that keeps so many idle connections; it sweeps its deadlines by itself, or the test does.
+    async fn start(idle: usize, by_itself: bool) -> Self {
+        Self::with_room((8, 2, idle), by_itself).await
+    }
+
+    async fn with_room((connections, turned_away, idle): (usize, usize, usize), by_itself: bool) -> Self {
+        let listener = listener().await;
+        let at = listener.local_addr().unwrap();
+        let (exchange, news) = Exchange::new();
+        let deadlines = Deadlines::new(Clock::new());
+        if by_itself {
+            sweeps(&deadlines);
+        }
+        let (phase, role, drain) = (
+            watch::Sender::new(Phase::Serving),
+            watch::Sender::new(Role::Active),
+            watch::Sender::new(Drain::No),
+        );
+        let signals = Signals { role: role.subscribe(), phase: phase.subscribe(), drain: drain.subscribe() };
+        let budget = Budget::new(1 << 20, Elsewhere::default());
+        let room = Room { connections, turned_away, idle, budget, last: 3000.0 };
+        let (passing, _) = mpsc::unbounded_channel();
+        let site = site();
+        let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
+        let read = move |head: &_, body, whole| platform::read(head, body, whole, &site);
+        let side = ServerSide::new(
+            read,
+            exchange,
+            deadlines.clone(),
+            (signals, passing),
+            stats,
+            (room, 700.0),
+            quiet(),
+        );
+        let running = spawn_local(side.run(listener, mpsc::unbounded_channel().1));
+        Self { at, news, phase, _others: (role, drain), running, deadlines }
+    }
+
+    /// The next request that is sent on.
+    async fn sent_on(&mut self) -> oneshot::Sender<Verdict<Answer>> {
+        match self.news.recv().await.unwrap() {
+            News::Arrived(_, _, _, client) => client,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Answers a client's first request on a connection, which is idle then.
+    async fn idle(&mut self) -> Crosser {
+        let mut client = Crosser::new(self.at).await;
+        client.write(&board("first", 900, 1));
+        self.sent_on().await.send(served("1")).unwrap();
+        assert_eq!(&client.answer().await.unwrap().body[..], b"1");
+        client
+    }
+}
+
+fn served(body: &str) -> Verdict<Answer> {
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    Verdict::Served(Answer { length: Some(body.len()), body, content_type: None, rest: None })
+}
+
+/// A client that writes at once, whether or not the runtime has a turn.
+struct Crosser {
+    at_once: std::net::TcpStream,
+    reads: TcpStream,
+    buffer: BytesMut,
+}
+
+impl Crosser {
+    async fn new(at: SocketAddr) -> Self {
+        let at_once = std::net::TcpStream::connect(at).unwrap();
+        at_once.set_nodelay(true).unwrap();
+        at_once.set_nonblocking(true).unwrap();
+        let reads = TcpStream::from_std(at_once.try_clone().unwrap()).unwrap();
+        Self { at_once, reads, buffer: BytesMut::new() }
+    }
+
+    fn write(&mut self, text: &str) {
+        self.at_once.write_all(text.as_bytes()).unwrap();
+    }
+
+    async fn answer(&mut self) -> Option<weldhub::net::http::Message> {
+        message(&mut self.reads, &mut self.buffer, weldhub::net::http::Kind::Response).await
+    }
+
+    /// The connection's end as the client sees it: nothing more, and no reset.
+    async fn ends_well(&mut self) {
+        let mut rest = Vec::new();
+        self.reads.read_to_end(&mut rest).await.expect("it is not reset");
+        assert_eq!(rest, b"", "{}", String::from_utf8_lossy(&rest));
+    }
+}
+
+// Shutdown and close.
+
+#[test]
+fn a_request_that_comes_as_it_begins_to_drain_is_answered_whole() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        let mut client = side.idle().await;
+        // In one turn: nobody has told the ingress of these bytes when it closes what is idle.
+        client.write(&board("crosses", 900, 1));
+        side.phase.send_replace(Phase::Draining);
+        side.sent_on().await.send(served("2")).unwrap();
+        let answer = client.answer().await.unwrap();
+        assert_eq!((&answer.body[..], answer.head.close), (&b"2"[..], true));
+        client.ends_well().await;
+        drop(client);
+        side.running.await.unwrap();
+    });
+}
+
+#[test]
+fn half_a_request_that_comes_as_it_begins_to_drain_is_heard_to_its_end() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        let (mut client, text) = (side.idle().await, board("crosses", 900, 1));
+        client.write(&text[..30]);
+        side.phase.send_replace(Phase::Draining);
+        // It has closed what is idle once this one is told so.
+        let mut other = Crosser::new(side.at).await;
+        assert!(other.answer().await.is_none());
+        client.write(&text[30..]);
+        side.sent_on().await.send(served("2")).unwrap();
+        let answer = client.answer().await.unwrap();
+        assert_eq!((&answer.body[..], answer.head.close), (&b"2"[..], true));
+    });
+}
+
+#[test]
+fn a_request_on_a_connection_that_the_system_has_accepted_as_it_drains_is_answered_whole() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        side.idle().await;
+        let mut client = Crosser::new(side.at).await;
+        client.write(&board("crosses", 900, 1));
+        side.phase.send_replace(Phase::Draining);
+        side.sent_on().await.send(served("2")).unwrap();
+        let answer = client.answer().await.unwrap();
+        assert_eq!((&answer.body[..], answer.head.close), (&b"2"[..], true));
+        client.ends_well().await;
+    });
+}
+
+#[test]
+fn a_connection_that_waits_for_room_as_it_drains_is_taken_in_once_there_is_some() {
+    local(async {
+        let mut side = Side::with_room((2, 0, 2), true).await;
+        let mut open = Vec::new();
+        for i in 0..2 {
+            let mut client = Crosser::new(side.at).await;
+            client.write(&board(&format!("{i}"), 1400, 1));
+            open.push((client, side.sent_on().await));
+        }
+        let mut waits = Crosser::new(side.at).await;
+        waits.write(&board("waits", 900, 1));
+        side.phase.send_replace(Phase::Draining);
+        for (mut client, verdict) in open {
+            verdict.send(served("1")).unwrap();
+            assert_eq!(status(&client.answer().await.unwrap()), 200);
+        }
+        side.sent_on().await.send(served("2")).unwrap();
+        assert_eq!(&waits.answer().await.unwrap().body[..], b"2");
+        drop(waits);
+        side.running.await.unwrap();
+    });
+}
+
+#[test]
+fn a_request_that_comes_after_the_write_side_is_shut_is_never_sent_on_and_resets_nothing() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        let mut client = side.idle().await;
+        side.phase.send_replace(Phase::Draining);
+        // The end of what the ingress says is seen: from now on it may not read a request.
+        client.ends_well().await;
+        for i in 0..3 {
+            client.write(&board(&format!("late{i}"), 900, 1));
+            assert!(client.at_once.take_error().unwrap().is_none());
+        }
+        client.ends_well().await;
+        drop(client);
+        side.running.await.unwrap();
+        assert!(side.news.try_recv().is_err(), "nothing was sent on");
+    });
+}
+
+#[test]
+fn a_request_that_comes_as_its_idle_connection_has_been_idle_for_too_long_is_answered_whole() {
+    local(async {
+        let mut side = Side::start(8, false).await;
+        let mut client = side.idle().await;
+        // Nobody sweeps: it is still open when its time is up, and is closed in the turn in which the bytes come.
+        tokio::time::sleep(Duration::from_millis(5100)).await;
+        client.write(&board("crosses", 900, 1));
+        side.deadlines.sweep(side.deadlines.clock().now());
+        side.sent_on().await.send(served("2")).unwrap();
+        assert_eq!(&client.answer().await.unwrap().body[..], b"2");
+    });
+}
+
+#[test]
+fn a_request_that_comes_as_its_idle_connection_is_closed_for_a_newer_one_is_answered_whole() {
+    local(async {
+        let mut side = Side::start(1, true).await;
+        let mut client = side.idle().await;
+        let mut newer = Crosser::new(side.at).await;
+        newer.write(&board("newer", 900, 1));
+        let verdict = side.sent_on().await;
+        // The newer one is idle with its answer, and only one may be.
+        client.write(&board("crosses", 900, 1));
+        verdict.send(served("1")).unwrap();
+        assert_eq!(status(&newer.answer().await.unwrap()), 200);
+        side.sent_on().await.send(served("2")).unwrap();
+        assert_eq!(&client.answer().await.unwrap().body[..], b"2");
+    });
+}
+
+// Clients.
+
+/// A client whose request waits for its first attempt.
+async fn waits(side: &mut Side, id: &str) -> (Crosser, oneshot::Sender<Verdict<Answer>>) {
+    let mut client = Crosser::new(side.at).await;
+    client.write(&board(id, 1400, 1));
+    let verdict = side.sent_on().await;
+    (client, verdict)
+}
+
+async fn left(side: &mut Side) {
+    let news = tokio::time::timeout(Duration::from_millis(300), side.news.recv()).await;
+    let news = news.expect("it is known within 0.3 s").unwrap();
+    assert!(matches!(news, News::Left(_)), "{news:?}");
+}
+
+#[test]
+fn a_client_that_has_sent_much_ahead_of_its_end_is_seen_to_leave() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        for much in [0, 9_000, 100_000, 1_000_000] {
+            let (mut client, _verdict) = waits(&mut side, &format!("{much}")).await;
+            client.reads.write_all(&vec![b'x'; much]).await.unwrap();
+            drop(client);
+            left(&mut side).await;
+        }
+    });
+}
+
+#[test]
+fn a_client_that_resets_its_connection_behind_what_it_sent_is_seen_to_leave() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        let (mut client, _verdict) = waits(&mut side, "a").await;
+        client.write(&"x".repeat(20_000));
+        SockRef::from(&client.reads).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(client);
+        left(&mut side).await;
+    });
+}
+
+#[test]
+fn many_that_leave_in_one_turn_are_all_seen_to_leave() {
+    local(async {
+        let mut side = Side::with_room((70, 2, 70), true).await;
+        let mut all = Vec::new();
+        for i in 0..60 {
+            let mut one = waits(&mut side, &format!("{i}")).await;
+            if i % 2 == 0 {
+                one.0.write(&board("ahead", 900, 1).repeat(100));
+            }
+            all.push(one);
+        }
+        let began = Instant::now();
+        let verdicts: Vec<_> = all.into_iter().map(|(_, verdict)| verdict).collect();
+        for _ in 0..verdicts.len() {
+            left(&mut side).await;
+        }
+        assert!(began.elapsed() < Duration::from_millis(300), "{:?}", began.elapsed());
+    });
+}
+
+#[test]
+fn who_floods_while_it_waits_is_answered_and_read_no_further() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        let (client, verdict) = waits(&mut side, "a").await;
+        let Crosser { reads, mut buffer, .. } = client;
+        let (mut reads, mut writes) = reads.into_split();
+        let flood = spawn_local(async move {
+            let (bytes, mut all) = (vec![b'x'; 1 << 20], 0);
+            while all < 64 && writes.write_all(&bytes).await.is_ok() {
+                all += 1;
+            }
+            all
+        });
+        // Others are served meanwhile.
+        side.idle().await;
+        verdict.send(served("1")).unwrap();
+        let answer = message(&mut reads, &mut buffer, weldhub::net::http::Kind::Response).await.unwrap();
+        assert_eq!((&answer.body[..], answer.head.close), (&b"1"[..], true));
+        let taken = flood.await.unwrap();
+        assert!(taken < 64, "{taken} MiB were taken from one client");
+        while let Ok(news) = side.news.try_recv() {
+            assert!(!matches!(news, News::Arrived(..)), "{news:?}");
+        }
+    });
+}
+
+#[test]
+fn what_comes_ahead_of_an_answer_is_the_next_request() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        let (mut client, verdict) = waits(&mut side, "a").await;
+        client.write(&board("b", 900, 1));
+        verdict.send(served("1")).unwrap();
+        assert_eq!(&client.answer().await.unwrap().body[..], b"1");
+        side.sent_on().await.send(served("2")).unwrap();
+        assert_eq!(&client.answer().await.unwrap().body[..], b"2");
+    });
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -10,6 +10,7 @@
 use stand_ins::*;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use tokio::net::TcpStream;
 
 /// Two processes to come at one address, in a folder of their own.
 struct Site {
@@ -226,3 +227,25 @@
         assert!(program.end().await.success());
     });
 }
+
+#[test]
+fn once_it_drains_nobody_comes_in_by_the_copy_of_the_listener_that_is_kept_for_the_next_process() {
+    local(async {
+        let site = Site::new("copy").await;
+        let mut program = site.start(0).await;
+        site.servers.iter().for_each(|server| server.behave(Serve::Stall));
+        let mut busy = Client::new(site.at).await;
+        busy.send(&submit("a", 3000)).await;
+        until(|| site.servers.iter().any(|server| server.count() > 0)).await;
+        program.signal("TERM");
+        program.says("draining").await;
+        // It would wait in the backlog of a listener that nobody accepts from.
+        let refused = async { while TcpStream::connect(site.at).await.is_ok() {} };
+        tokio::select! {
+            biased;
+            () = refused => {}
+            _ = busy.answer() => panic!("clients are let in until the last flow has ended"),
+        }
+        assert!(program.end().await.success());
+    });
+}
