Let no repeat leave after its window, and no second answer pass for the next request's

By its id in the logs: the repeat was decided within the window, and then waited for a connection that came up to 1.5 s late. Lines at fault: `Action::Send` said nothing of the window, and `connection` wrote whenever the connection came. Now the decisions say within what time a repeat must have left whole (`within`); the client side gives up what has not by then, as never sent. Found by reading beside it: - A second answer that came milliseconds after the first was read as the next request's where that was written in between. Nothing in an answer tells whose it is, so a connection rests 50 ms before it carries the next request. - A long body whose last byte had gone counted as never run until its client had said that it was the last. Ruled out: the limiter's own bound (`allows_after`) holds; a request is never written twice by the network code.

--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -855,7 +855,7 @@
     fn carry_out(&mut self, i: usize, act: Action, own: &mut std::collections::VecDeque<Event>) {
         let life = self.nodes[i].life;
         match act {
-            Action::Send { request, server, wait } => self.send(i, request.0, server, wait, own),
+            Action::Send { request, server, wait, .. } => self.send(i, request.0, server, wait, own),
             Action::Refuse(id, after) => self.answer(i, id.0, Ended::Refused { after }),
             Action::Fail(id) => self.answer(i, id.0, Ended::Failed),
             Action::Cancel(id, no) => {
--- a/emulator/tests/fleet.rs
+++ b/emulator/tests/fleet.rs
@@ -119,7 +119,7 @@
         {
             // Sends whatever it was once more, wherever the last one went.
             if let Some((_, server)) = self.last {
-                acts.push(Action::Send { request: end.request, server, wait: None });
+                acts.push(Action::Send { request: end.request, server, wait: None, within: None });
                 return;
             }
         }
--- a/load/src/model.rs
+++ b/load/src/model.rs
@@ -249,7 +249,7 @@
         let life = self.nodes[i].life;
         for act in acts {
             match act {
-                Action::Send { request, server, wait } => self.send(i, request, server, wait),
+                Action::Send { request, server, wait, .. } => self.send(i, request, server, wait),
                 Action::Refuse(id, after) => self.answer(i, id, Ended::Refused { after }),
                 Action::Fail(id) => self.answer(i, id, Ended::Failed),
                 Action::Cancel(id, no) => self.ended((i, life, id, no), Outcome::Cancelled),
--- a/src/bin/weldhub-adapter/tests.rs
+++ b/src/bin/weldhub-adapter/tests.rs
@@ -98,7 +98,7 @@
 fn the_documented_actions_are_written() {
     let mut reply = Reply::default();
     let (request, server) = (RequestId(0x0003_1dfb_5d3a_91c4), ServerId(0x0a12_4a07_1f93));
-    reply.push(3, &Action::Send { request, server, wait: Some(80.0) });
+    reply.push(3, &Action::Send { request, server, wait: Some(80.0), within: None });
     reply.push(3, &Action::SetTimer(500.0, TimerKey(77)));
     reply.push(3, &Action::Count(CounterName(0x89_f690), 4.0, 3000.0));
     reply.push(3, &Action::Tell(GatewayId(2), b"hi 7".to_vec()));
--- a/src/bin/weldhub-adapter/wire.rs
+++ b/src/bin/weldhub-adapter/wire.rs
@@ -282,7 +282,7 @@
             self.bytes.extend(instance.to_be_bytes());
         }
         match action {
-            Action::Send { request, server, wait } => {
+            Action::Send { request, server, wait, .. } => {
                 self.code(256);
                 self.bytes.extend(request.0.to_be_bytes());
                 self.server(*server);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -160,6 +160,8 @@
         question: Q,
         /// How long the engine will wait.
         wait: Millis,
+        /// The moment by which it must have left whole, or never does.
+        by: Option<Millis>,
     },
     /// Give a scheduling up and report it ended like this, unless it ended before.
     GiveUp(RequestId, AttemptNo, Outcome),
--- a/src/fronts/ext_authz/authorisers.rs
+++ b/src/fronts/ext_authz/authorisers.rs
@@ -83,7 +83,7 @@
                     biased;
                     // What is given up is dropped, which resets its stream.
                     _ = given_up => {}
-                    ending = side.carry(server, &job.question, job.wait, &job.stage) => {
+                    ending = side.carry(server, &job.question, (job.wait, job.by), &job.stage) => {
                         side.schedulings.ended(id, ending);
                     }
                 }
@@ -107,7 +107,7 @@
         &self,
         server: ServerId,
         check: &Check,
-        wait: Millis,
+        (wait, by): (Millis, Option<Millis>),
         stage: &Cell<Stage>,
     ) -> Ending<Bytes> {
         let pool = self.schedulings.pools.borrow().get(&server).map(|pool| (pool.at, pool.kept.clone()));
@@ -120,6 +120,10 @@
         let Some(sender) = self.open(&link, at).await else {
             return Ending::badly(Outcome::ConnectFailed);
         };
+        // Prevents a repeat that waited for its connection from running too late.
+        if by.is_some_and(|by| by <= self.deadlines.clock().now()) {
+            return Ending::badly(Outcome::ConnectFailed);
+        }
         let mut request = tonic::Request::new(check.message.clone());
         *request.metadata_mut() = check.metadata.clone();
         request.set_timeout(timeout_of(wait));
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -97,11 +97,7 @@
     }
     let passed = passed.freeze();
     let id = passed.slice(at);
-    Ok(Asked::Flow(
-        terms,
-        Question { head: passed, body, bodiless, chunked: head.length().is_none(), rest: None },
-        id,
-    ))
+    Ok(Asked::Flow(terms, Question { head: passed, body, bodiless, length: head.length(), rest: None }, id))
 }
 
 /// Whether a value can be passed on as an id or a key.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,6 +90,11 @@
             Self::Unsafe => false,
         }
     }
+
+    /// How much longer it can be sent again so long after that attempt; none where time sets no bound.
+    pub fn time_left(&self, age: Millis) -> Option<Millis> {
+        if let Self::Keyed { window, .. } = self { Some(window - age) } else { None }
+    }
 }
 
 /// A class of requests.
@@ -427,6 +432,8 @@
         server: ServerId,
         /// Its time-out.
         wait: Option<Millis>,
+        /// It must have left whole within this, or never: a repeat later than that would be another effect.
+        within: Option<Millis>,
     },
     /// Final answer: nothing ran, the client may safely come again, best after this time.
     Refuse(RequestId, Option<Millis>),
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -29,6 +29,9 @@
 
 /// An idle connection is closed after this part of the time after which a real server may close it.
 const IDLE_PART: f64 = 0.8;
+/// A connection carries nothing for so long after an answer. Prevents a second answer, which some real servers give
+/// milliseconds later, from being taken for that of the next flow: nothing in it tells whose it is.
+const REST: Millis = 50.0;
 /// An answer whose length is not told is taken whole if it comes within this, or else passes on as it comes.
 const PATIENCE: Millis = 150.0;
 /// An answer that passes on and brings nothing for so long has broken off.
@@ -43,8 +46,8 @@
     pub body: Bytes,
     /// The answer has no body, whatever its head says: it is to HEAD.
     pub bodiless: bool,
-    /// Its rest has no length told ahead: it goes on in chunks.
-    pub chunked: bool,
+    /// How long the body is; where that is not told ahead, its rest goes on in chunks.
+    pub length: Option<usize>,
     /// What is still to come of the body.
     pub rest: Option<Once>,
 }
@@ -64,8 +67,16 @@
 
 type Flows = Exchange<Question, Answer>;
 type Work = Job<Question>;
-/// The ways to idle connections; once one is dropped, its connection is closed.
-type Idle = Vec<oneshot::Sender<Work>>;
+/// The idle connections, the longest idle first.
+type Idle = Vec<Resting>;
+
+/// An idle connection.
+#[derive(Debug)]
+struct Resting {
+    since: Millis,
+    /// The way to it; once this is dropped, the connection is closed.
+    next: oneshot::Sender<Work>,
+}
 
 /// What passes between processes at one address.
 #[derive(Debug)]
@@ -137,9 +148,11 @@
         let Some(pool) = pools.get_mut(&server) else {
             return this.schedulings.ended(job.id, Ending::badly(Outcome::ConnectFailed));
         };
-        while let Some(idle) = pool.kept.pop() {
+        // The one that was used last of those that have rested: others grow old and close.
+        let rested = this.deadlines.clock().now() - REST;
+        while let Some(i) = pool.kept.iter().rposition(|idle| idle.since <= rested) {
             // One that has just ended gives the job back, unwritten.
-            match idle.send(job) {
+            match pool.kept.remove(i).next.send(job) {
                 Ok(()) => return,
                 Err(back) => job = back,
             }
@@ -159,20 +172,21 @@
     fn adopt(this: &Rc<Self>, server: ServerId, stream: TcpStream) {
         let at = this.schedulings.pools.borrow().get(&server).map(|pool| pool.at);
         if let Some(at) = at.filter(|at| stream.peer_addr().is_ok_and(|peer| peer == *at))
-            && let Some(next) = this.park(server, at)
+            && let Some(next) = this.park(server, at, this.deadlines.clock().now())
         {
             spawn_local(life(Open::new(this), (server, at), stream, Then::Wait(next)));
         }
     }
 
-    /// Puts a connection by for the next job; none where its real server is not to have any.
-    fn park(&self, server: ServerId, at: SocketAddr) -> Option<oneshot::Receiver<Work>> {
+    /// Puts a connection by that has been idle since then; none where its real server is not to have any.
+    fn park(&self, server: ServerId, at: SocketAddr, since: Millis) -> Option<oneshot::Receiver<Work>> {
         let mut pools = self.schedulings.pools.borrow_mut();
         let pool = pools.get_mut(&server).filter(|pool| pool.at == at)?;
-        let (idle, next) = oneshot::channel();
-        pool.kept.retain(|idle| !idle.is_closed());
-        pool.kept.push(idle);
-        Some(next)
+        let (next, coming) = oneshot::channel();
+        pool.kept.retain(|idle| !idle.next.is_closed());
+        let place = pool.kept.partition_point(|idle| idle.since <= since);
+        pool.kept.insert(place, Resting { since, next });
+        Some(coming)
     }
 }
 
@@ -198,8 +212,14 @@
     }
 }
 
-/// A job as a connection carries it: which, what to ask, how long the engine waits, and how far it has come.
-type Carried<'a> = (Id, &'a Question, Millis, &'a Cell<Stage>);
+/// A job as a connection carries it.
+struct Carried<'a> {
+    id: Id,
+    question: &'a Question,
+    wait: Millis,
+    by: Option<Millis>,
+    stage: &'a Cell<Stage>,
+}
 
 /// How a job went on a connection, and whether that can carry another.
 type Went = (Ending<Answer>, bool);
@@ -223,10 +243,12 @@
 /// Opens a connection for its first job.
 async fn connection(open: Open, server: ServerId, at: SocketAddr, mut job: Work) {
     let side = open.0.clone();
+    let within = job.time_left(&side.deadlines.clock()).unwrap_or(f64::INFINITY);
+    let within = within.min(side.site.connect_timeout);
     let connected = tokio::select! {
         biased;
         _ = &mut job.given_up => return,
-        connected = side.deadlines.within(side.site.connect_timeout, connect(at)) => connected,
+        connected = side.deadlines.within(within, connect(at)) => connected,
     };
     match connected {
         Some(Ok(stream)) => life(open, (server, at), stream, Then::Carry(job)).await,
@@ -241,13 +263,15 @@
     loop {
         then = match then {
             Then::Carry(mut job) => {
-                let carried = (job.id, &job.question, job.wait, &*job.stage);
+                let Job { id, ref question, wait, by, ref stage, .. } = job;
+                let carried = Carried { id, question, wait, by, stage };
                 let (ending, reusable) = tokio::select! {
                     biased;
                     _ = &mut job.given_up => return,
                     went = side.carry(&mut stream, &mut buffer, at, &carried) => went,
                 };
-                let next = if reusable { side.park(server, at) } else { None };
+                let now = side.deadlines.clock().now();
+                let next = if reusable { side.park(server, at, now) } else { None };
                 side.schedulings.ended(job.id, ending);
                 next.map_or(Then::End, Then::Wait)
             }
@@ -313,7 +337,7 @@
             Ok(Asked::Early) => early = true,
             Err(outcome) => return badly(outcome),
         }
-        let (ending, reusable) = self.hear(stream, buffer, job).await;
+        let (ending, reusable) = self.hear(stream, buffer, job.id, job.question).await;
         if early && ending.outcome == Outcome::Served {
             // Nobody can have made it for a request that had not come.
             return badly(Outcome::Error);
@@ -327,7 +351,7 @@
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         at: SocketAddr,
-        (_, question, wait, stage): &Carried<'_>,
+        Carried { question, wait, by, stage, .. }: &Carried<'_>,
     ) -> Result<Asked, Outcome> {
         let rest = match &question.rest {
             // What has gone once is not kept.
@@ -336,18 +360,30 @@
         };
         let wait = wait.max(1.0) as u64;
         let fields = format!("Host: {at}\r\nRequest-Timeout-Ms: {wait}\r\n\r\n");
-        let chunked = rest.is_some() && question.chunked;
+        let chunked = rest.is_some() && question.length.is_none();
         let mut bytes =
             BytesMut::with_capacity(question.head.len() + fields.len() + question.body.len() + 16);
         bytes.extend_from_slice(&question.head);
         bytes.extend_from_slice(fields.as_bytes());
         frame(&mut bytes, &question.body, chunked);
+        // Prevents a repeat that waited for its connection, or for the real server to read, from running too late.
+        let left = by.map(|by| by - self.deadlines.clock().now());
+        if left.is_some_and(|left| left <= 0.0) {
+            return Err(Outcome::ConnectFailed);
+        }
         stage.set(Stage::Writing);
-        let written = stream.write_all(&bytes).await;
+        let written = match left {
+            Some(left) => self.deadlines.within(left, stream.write_all(&bytes)).await,
+            None => Some(stream.write_all(&bytes).await),
+        };
         drop(bytes);
-        written.map_err(|_| Outcome::ConnectFailed)?;
+        if !matches!(written, Some(Ok(()))) {
+            return Err(Outcome::ConnectFailed);
+        }
         if let Some(mut rest) = rest {
-            loop {
+            let mut missing = question.length.map(|length| length.saturating_sub(question.body.len()));
+            // With its last byte written it may run, whether or not its client has said yet that it is the last.
+            while missing != Some(0) {
                 let piece = tokio::select! {
                     biased;
                     piece = rest.recv() => piece,
@@ -357,22 +393,19 @@
                     },
                 };
                 let mut bytes = BytesMut::new();
-                let last = match &piece {
+                match &piece {
                     Some(Piece::Data(data)) => {
                         frame(&mut bytes, data, chunked);
-                        false
+                        missing = missing.map(|missing| missing.saturating_sub(data.len()));
                     }
                     Some(Piece::End) => {
                         bytes.extend_from_slice(if chunked { b"0\r\n\r\n" } else { b"" });
-                        true
+                        missing = Some(0);
                     }
                     // Its client has broken off.
                     None => return Err(Outcome::ConnectFailed),
-                };
-                stream.write_all(&bytes).await.map_err(|_| Outcome::ConnectFailed)?;
-                if last {
-                    break;
                 }
+                stream.write_all(&bytes).await.map_err(|_| Outcome::ConnectFailed)?;
             }
         }
         stage.set(Stage::Written);
@@ -381,12 +414,7 @@
     }
 
     /// Reads an answer: a short one whole, of a long one the first pieces go on while the others come.
-    async fn hear(
-        &self,
-        stream: &mut TcpStream,
-        buffer: &mut BytesMut,
-        (id, question, ..): &Carried<'_>,
-    ) -> Went {
+    async fn hear(&self, stream: &mut TcpStream, buffer: &mut BytesMut, id: Id, question: &Question) -> Went {
         let (mut held, mut ahead) = (self.budget.hold(), 0);
         let head = loop {
             match peek_head(buffer, Kind::Response) {
@@ -437,7 +465,7 @@
                 }
                 drop(held);
                 let went = (body, taken.freeze());
-                return self.pass_on(stream, buffer, *id, &head, went).await;
+                return self.pass_on(stream, buffer, id, &head, went).await;
             }
             let more = tokio::select! {
                 more = read_more(stream, buffer) => more,
--- a/src/net/schedulings.rs
+++ b/src/net/schedulings.rs
@@ -1,6 +1,7 @@
 //! The schedulings that are out and the real servers they may go to: what the client sides of all fronts share.
 //! Each scheduling is reported ended once, and none starts on a real server that is not ready.
 
+use crate::deadlines::Clock;
 use crate::entries::List;
 use crate::exchange::{Exchange, News, Order, Report};
 use crate::interface::*;
@@ -33,12 +34,21 @@
     pub question: Q,
     /// How long the engine waits.
     pub wait: Millis,
+    /// The moment by which it must have left whole, or never does.
+    pub by: Option<Millis>,
     /// How far it has come, to be kept up by who carries it.
     pub stage: Rc<Cell<Stage>>,
     /// Resolves once it is given up: nothing more is to be done for it.
     pub given_up: oneshot::Receiver<()>,
 }
 
+impl<Q> Job<Q> {
+    /// How long it may still take until it has left whole; none where that is not bound.
+    pub fn time_left(&self, clock: &Clock) -> Option<Millis> {
+        self.by.map(|by| by - clock.now())
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     server: ServerId,
@@ -93,13 +103,13 @@
     pub async fn run(&self, mut orders: mpsc::UnboundedReceiver<Order<Q>>, start: impl Fn(ServerId, Job<Q>)) {
         while let Some(order) = orders.recv().await {
             match order {
-                Order::Start { flow, no, server, question, wait } => {
+                Order::Start { flow, no, server, question, wait, by } => {
                     let id = (flow, no);
                     let stage = Rc::new(Cell::new(Stage::Waiting));
                     let (go_on, given_up) = oneshot::channel();
                     let running = Running { server, stage: stage.clone(), _go_on: go_on };
                     self.running.borrow_mut().insert(id, running);
-                    start(server, Job { id, question, wait, stage, given_up });
+                    start(server, Job { id, question, wait, by, stage, given_up });
                 }
                 Order::GiveUp(flow, no, outcome) => self.give_up((flow, no), outcome),
                 Order::List(list) => self.list(&list),
@@ -159,75 +169,3 @@
         drained.into_iter().for_each(|id| self.give_up(id, Outcome::TimedOut));
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::entries::{ServiceEntry, server_id};
-
-    fn list(state: ServerState) -> List {
-        let entry = ServerEntry {
-            server: server_id("s1"),
-            state,
-            weight: 1.0,
-            zone: ZoneId(0),
-            cell: CellId(0),
-            kind: KindId(0),
-            last_start: None,
-        };
-        List {
-            generation: 1,
-            whole: true,
-            entries: vec![ServiceEntry { entry, at: "127.0.0.1:1".parse().ok() }],
-        }
-    }
-
-    /// Starts a scheduling that has come to this stage, then does what `then` orders.
-    async fn outcome(stage: Stage, then: Order<()>) -> (Option<Outcome>, bool) {
-        let (exchange, mut news) = Exchange::<(), ()>::new();
-        let schedulings = Schedulings::<(), (), ()>::new(exchange);
-        let (orders, ordered) = mpsc::unbounded_channel();
-        let start = Order::Start {
-            flow: RequestId(1),
-            no: AttemptNo(0),
-            server: server_id("s1"),
-            question: (),
-            wait: 9.0,
-        };
-        orders.send(Order::List(list(ServerState::Ready))).unwrap();
-        orders.send(start).unwrap();
-        orders.send(then).unwrap();
-        // A second word about the same scheduling must not be reported.
-        orders.send(Order::GiveUp(RequestId(1), AttemptNo(0), Outcome::Cancelled)).unwrap();
-        drop(orders);
-        let job = Cell::new(None);
-        let take = |_, started: Job<()>| {
-            started.stage.set(stage);
-            job.set(Some(started));
-        };
-        schedulings.run(ordered, take).await;
-        let given_up = job.into_inner().unwrap().given_up.try_recv();
-        let first = match news.try_recv() {
-            Ok(News::Ended(report)) => Some(report.outcome),
-            _ => None,
-        };
-        assert!(news.try_recv().is_err(), "one end each");
-        (first, given_up == Err(oneshot::error::TryRecvError::Closed))
-    }
-
-    #[tokio::test]
-    async fn nothing_that_waits_starts_on_a_drained_real_server_and_what_was_written_goes_on() {
-        let drain = || Order::List(list(ServerState::Draining));
-        assert_eq!(outcome(Stage::Waiting, drain()).await, (Some(Outcome::ConnectFailed), true));
-        // The last order cancels it: the drain had left it alone.
-        assert_eq!(outcome(Stage::Written, drain()).await, (Some(Outcome::Cancelled), true));
-    }
-
-    #[tokio::test]
-    async fn what_was_not_written_whole_has_never_run() {
-        let time_out = || Order::GiveUp(RequestId(1), AttemptNo(0), Outcome::TimedOut);
-        assert_eq!(outcome(Stage::Waiting, time_out()).await.0, Some(Outcome::ConnectFailed));
-        assert_eq!(outcome(Stage::Writing, time_out()).await.0, Some(Outcome::ConnectFailed));
-        assert_eq!(outcome(Stage::Written, time_out()).await.0, Some(Outcome::TimedOut));
-    }
-}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -810,6 +810,7 @@
         // Prevents an answer that never comes from pinning a capped customer's attempts.
         let capped = hurry < 1.0 && self.plan(open.request.plan).open_cap > 0.0 && class.aim < left;
         let wait = if again { Some(patience) } else { capped.then_some(class.aim) };
+        let within = open.within(now, &class.effect);
         let no = AttemptNo(u16::try_from(open.attempts.len()).unwrap_or(u16::MAX));
         let units = open.request.units;
         if let Some(server) = self.servers.get_mut(&id) {
@@ -820,7 +821,7 @@
             .entry(open.request.customer)
             .and_modify(|c| c.sent(units, open.counted && !open.attempts.is_empty()));
         open.attempts.push(Attempt { server: id, sent: now, out: true, streams: false });
-        acts.push(Action::Send { request: open.request.id, server: id, wait });
+        acts.push(Action::Send { request: open.request.id, server: id, wait, within });
         true
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -801,6 +801,11 @@
         let (attempts, deadline) = (Vec::new(), now + request.left);
         Self { request, deadline, attempts, risky: None, done: false, home: None, counted: false }
     }
+
+    /// Within what time a further attempt must leave, where one that may have run bounds it.
+    pub(crate) fn within(&self, now: Millis, effect: &Effect) -> Option<Millis> {
+        effect.time_left(now + 1.0 - self.attempts[self.risky?].sent)
+    }
 }
 
 impl Customer {
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -47,6 +47,28 @@
     }
 }
 
+/// An attempt that waits, for a connection or its turn, must not leave when its class may no longer be repeated.
+#[test]
+fn a_repeat_of_keyed_work_must_leave_within_what_is_left_of_its_window() {
+    let within = |acts: &[Action]| {
+        let found =
+            acts.iter().find_map(|a| if let Action::Send { within, .. } = a { Some(*within) } else { None });
+        found.expect("it is sent")
+    };
+    for (class, first, left) in
+        [(0, Outcome::Error, None), (1, Outcome::Error, Some(689.0)), (3, Outcome::Reset, Some(689.0))]
+    {
+        let mut bench = quiet();
+        // The first one never ran: the window begins with the second.
+        let (id, acts) = bench.ask(1, class, 1.0, 1);
+        assert_eq!(within(&acts), None);
+        let acts = bench.wait(100.0).end(id, 0, sent(&acts).unwrap(), Outcome::ConnectFailed, 100.0);
+        assert_eq!(within(&acts), None);
+        let acts = bench.wait(310.0).end(id, 1, sent(&acts).unwrap(), first, 310.0);
+        assert_eq!(within(&acts), left, "class {class}: less the millisecond that clocks may differ by");
+    }
+}
+
 #[test]
 fn keyed_work_does_not_leave_its_group_when_its_first_server_is_no_longer_listed() {
     for round in 0..20 {
--- /dev/null
+++ b/tests/schedulings.rs
@@ -0,0 +1,71 @@
+//! What the client sides of all fronts share: each scheduling ends once, none starts on a drained real server.
+
+use std::cell::Cell;
+use tokio::sync::{mpsc, oneshot};
+use weldhub::entries::{List, ServiceEntry, server_id};
+use weldhub::exchange::{Exchange, News, Order};
+use weldhub::interface::*;
+use weldhub::net::schedulings::{Job, Schedulings, Stage};
+
+fn list(state: ServerState) -> List {
+    let entry = ServerEntry {
+        server: server_id("s1"),
+        state,
+        weight: 1.0,
+        zone: ZoneId(0),
+        cell: CellId(0),
+        kind: KindId(0),
+        last_start: None,
+    };
+    List { generation: 1, whole: true, entries: vec![ServiceEntry { entry, at: "127.0.0.1:1".parse().ok() }] }
+}
+
+/// Starts a scheduling that has come to this stage, then does what `then` orders.
+async fn outcome(stage: Stage, then: Order<()>) -> (Option<Outcome>, bool) {
+    let (exchange, mut news) = Exchange::<(), ()>::new();
+    let schedulings = Schedulings::<(), (), ()>::new(exchange);
+    let (orders, ordered) = mpsc::unbounded_channel();
+    let start = Order::Start {
+        flow: RequestId(1),
+        no: AttemptNo(0),
+        server: server_id("s1"),
+        question: (),
+        wait: 9.0,
+        by: None,
+    };
+    orders.send(Order::List(list(ServerState::Ready))).unwrap();
+    orders.send(start).unwrap();
+    orders.send(then).unwrap();
+    // A second word about the same scheduling must not be reported.
+    orders.send(Order::GiveUp(RequestId(1), AttemptNo(0), Outcome::Cancelled)).unwrap();
+    drop(orders);
+    let job = Cell::new(None);
+    let take = |_, started: Job<()>| {
+        started.stage.set(stage);
+        job.set(Some(started));
+    };
+    schedulings.run(ordered, take).await;
+    let given_up = job.into_inner().unwrap().given_up.try_recv();
+    let first = match news.try_recv() {
+        Ok(News::Ended(report)) => Some(report.outcome),
+        _ => None,
+    };
+    assert!(news.try_recv().is_err(), "one end each");
+    (first, given_up == Err(oneshot::error::TryRecvError::Closed))
+}
+
+#[tokio::test]
+async fn nothing_that_waits_starts_on_a_drained_real_server_and_what_was_written_goes_on() {
+    let drain = || Order::List(list(ServerState::Draining));
+    assert_eq!(outcome(Stage::Waiting, drain()).await, (Some(Outcome::ConnectFailed), true));
+    // The last order cancels it: the drain had left it alone.
+    assert_eq!(outcome(Stage::Written, drain()).await, (Some(Outcome::Cancelled), true));
+}
+
+#[tokio::test]
+async fn what_was_not_written_whole_has_never_run() {
+    let time_out = || Order::GiveUp(RequestId(1), AttemptNo(0), Outcome::TimedOut);
+    assert_eq!(outcome(Stage::Waiting, time_out()).await.0, Some(Outcome::ConnectFailed));
+    assert_eq!(outcome(Stage::Writing, time_out()).await.0, Some(Outcome::ConnectFailed));
+    assert_eq!(outcome(Stage::Written, time_out()).await.0, Some(Outcome::TimedOut));
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -75,6 +75,11 @@
     });
 }
 
+/// Longer than a connection to a real server rests after an answer: it may carry another flow then.
+pub async fn rested() {
+    tokio::time::sleep(std::time::Duration::from_millis(80)).await;
+}
+
 /// Waits until something is so.
 pub async fn until(mut so: impl FnMut() -> bool) {
     while !so() {
@@ -347,7 +352,8 @@
         "cell": cell, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
 }
 
-/// Discovery's agent: writes the lines it is given to every watch, and remembers what was asked.
+/// Discovery's agent: gives every watch a sign of life at once and then the lines it is told, and remembers what was
+/// asked.
 #[derive(Clone)]
 pub struct Agent {
     pub at: SocketAddr,
@@ -383,7 +389,7 @@
         let mut lines = self.lines.subscribe();
         let mut told = lines.borrow_and_update().len();
         self.asked.borrow_mut().push(String::from_utf8(request.head.request_line().1.to_vec()).unwrap());
-        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n").await;
         while lines.changed().await.is_ok() {
             let new = lines.borrow_and_update()[told..].to_vec();
             told += new.len();
