Go by a customer's present plan and set: those of its first request held for good

Found by reading: `Limiter::customer` kept plan, set and stores of the first request, so a customer whose tier changed went on under the old quota. Now a request of another plan takes hold at once: what was granted or told under the old one ends, stores keep the lower level, and nothing is given anew by changing to and fro.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -377,9 +377,9 @@
         let store = if n > FEW { plan.burst / n + chance } else { (plan.burst / n).max(least) };
         // A ceiling holds what a life before may not have drawn: it kept the quota.
         let ceiling = (plan.ceiling_burst - plan.burst).max(0.0) / n;
-        let fresh = || Customer::new(request, spread, (store, ceiling), started, now);
-        let customer = self.customers.entry(request.customer).or_insert_with(fresh);
-        customer.seen = now;
+        let fresh = Customer::new(request, spread, (store, ceiling), started, now);
+        let customer = self.customers.entry(request.customer).or_insert_with(|| fresh.clone());
+        customer.see(now, fresh);
         customer
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -795,6 +795,25 @@
     }
 }
 
+impl Customer {
+    /// It asks at `now`, and would begin as `fresh` if it were not known. Where its plan or its set is another one than
+    /// before, that holds from now on: nothing granted or told under the old plan goes on, nor is anything given anew.
+    pub(crate) fn see(&mut self, now: Millis, fresh: Self) {
+        self.seen = now;
+        (self.spread, self.first) = (fresh.spread, fresh.first);
+        if self.plan == fresh.plan {
+            return;
+        }
+        self.plan = fresh.plan;
+        self.store.level = self.store.level.min(fresh.store.level);
+        self.slice.level = self.slice.level.min(fresh.slice.level);
+        // What it was below nothing was under no ceiling, or under another.
+        self.ceiling.level = self.ceiling.level.max(0.0).min(fresh.ceiling.level);
+        (self.credit, self.quiet_until) = (0.0, 0.0);
+        (self.call.total, self.call.heard, self.call.others) = (None, None, None);
+    }
+}
+
 impl Open {
     /// A request of which nothing was sent yet.
     pub(crate) fn new(request: Request, now: Millis) -> Self {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,6 +4,7 @@
 mod stand_ins;
 
 use bytes::{Bytes, BytesMut};
+use serde_json::json;
 use socket2::SockRef;
 use stand_ins::ingress::*;
 use stand_ins::*;
@@ -369,3 +370,72 @@
         assert_eq!(&client.answer().await.unwrap().body[..], b"2");
     });
 }
+
+// State.
+
+/// An ingress with two plans: one of 27 units and one of 6, which never fill again.
+async fn two_plans() -> (RealServer, Ingress, Agent) {
+    let (server, agent) = (RealServer::start(ok("x")).await, Agent::start().await);
+    let mut told = told(agent.at, vec![service_entry("s1", server.at, 0, "in_service")]);
+    let mut small = told["settings"]["tariffs"][0].clone();
+    (small["name"], small["storeSize"]) = (json!("guest"), json!(6.0));
+    told["settings"]["tariffs"].as_array_mut().unwrap().push(small);
+    let ingress = start(&told).await;
+    (server, ingress, agent)
+}
+
+/// A request of that customer under this plan.
+fn under(plan: &str, customer: u8, id: &str, units: u32) -> String {
+    let text = board(id, 900, units).replace("X-Tier: club", &format!("X-Tier: {plan}"));
+    text.replace("client=0000000000000007", &format!("client=00000000000000{customer:02x}"))
+}
+
+#[test]
+fn two_customers_on_one_connection_have_each_their_own_plan_and_units() {
+    local(async {
+        let (_server, ingress, _agent) = two_plans().await;
+        let mut client = Client::new(ingress.at).await;
+        let mut statuses = [Vec::new(), Vec::new()];
+        for i in 0..6 {
+            for (k, plan) in ["club", "guest"].into_iter().enumerate() {
+                let text = under(plan, 7 + k as u8, &format!("{i}{k}"), if k == 0 { 5 } else { 2 });
+                statuses[k].push(status(&client.ask(&text).await));
+            }
+        }
+        assert_eq!(statuses, [[200, 200, 200, 200, 200, 429], [200, 200, 200, 429, 429, 429]]);
+    });
+}
+
+#[test]
+fn a_customer_whose_plan_changes_goes_by_the_new_one_at_once_and_is_given_nothing_anew() {
+    local(async {
+        let (_server, ingress, _agent) = two_plans().await;
+        let mut client = Client::new(ingress.at).await;
+        let mut asks = Vec::new();
+        for (plan, units) in
+            [("club", 5), ("guest", 4), ("guest", 4), ("guest", 2), ("club", 1), ("guest", 1)]
+        {
+            let id = asks.len().to_string();
+            asks.push(status(&client.ask(&under(plan, 7, &id, units)).await));
+        }
+        assert_eq!(asks, [200, 200, 429, 200, 429, 429]);
+    });
+}
+
+// Start.
+
+#[test]
+fn it_is_ready_in_time_though_discovery_accepts_and_never_says_a_word() {
+    local(async {
+        for known in [true, false] {
+            let (server, agent) = (RealServer::start(ok("x")).await, listener().await);
+            let known = known.then(|| service_entry("s1", server.at, 0, "in_service"));
+            let told = told(agent.local_addr().unwrap(), known.clone().into_iter().collect());
+            let began = Instant::now();
+            let ingress = start(&told).await;
+            assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
+            let answer = ask(ingress.at, &board("a", 900, 1)).await;
+            assert_eq!(status(&answer) == 200, known.is_some(), "{}", status(&answer));
+        }
+    });
+}
