Go by whole lines of a watch, and do not wait for a successor that says half a word

Whole lines count now, and 3.5 s without one, so that there are two seconds and more for the next watch. - `knock` took the first bytes for a word: a successor that said its head and fell silent was waited for 4.5 s, past the clock. It has to say a whole line; one that was accepted has 500 ms before a further one is asked. - An agent that ended each watch at once was asked again without a pause (thousands of times a second): 120 ms. - Where lists are asked for, a fleet's watches that fall silent together are spread over 2 s. - A list that is indented over many lines was nonsense at its first.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,25 +9,33 @@
 use crate::pacing::Pacing;
 use bytes::BytesMut;
 use slog::{Logger, info, warn};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-/// A watch gives a sign of life every 2 s; one silent for this long is opened anew. With the time for that it
-/// stays below the 6 s after which what discovery has to tell counts as told.
-const SILENCE: Millis = 4500.0;
+/// A watch gives a sign of life every 2 s; one without a whole line for this long is opened anew. What it misses counts
+/// as told 6 s after it fell silent, so there are two seconds and more for the next one to speak.
+const SILENCE: Millis = 3500.0;
 /// A connection to the agent that is not up by then never will be: it is on this machine.
 const CONNECT: Millis = 1000.0;
 /// A watch that fails is opened again after the first at the least, and up to the second or what the fleet needs.
 const BACKOFF: [Millis; 2] = [50.0, 1000.0];
+/// Where lists are asked for, a whole fleet's watches that fell silent are opened anew within this.
+const REOPEN: Millis = 2000.0;
 
 /// Where lists are pushed, an agent of this machine's own is asked, at no cost to others: while it says nothing a further
 /// watch is begun so often, and the oldest of so many given up. Its word counts as told as soon as it has it, so the
 /// first must be open within a drain's grace.
 const KNOCK: Millis = 120.0;
 const KNOCKS: usize = 10;
+/// The same while one has been accepted but has not said a whole line: it may have nothing to say for 2 s.
+const ACCEPTED: Millis = 500.0;
+/// A watch that spoke is opened anew at once when it ends, unless it lasted no longer than this.
+const LASTED: Millis = 1000.0;
 
 /// A watch on discovery.
 #[derive(Debug)]
@@ -58,18 +66,23 @@
                 () = self.deadlines.sleep(pause) => {}
                 () = self.agent.moved_from(at) => {}
             }
-            let (at, mut heard) = (self.agent.now(), false);
-            let watch = self.watch(at, &mut known, |list| {
-                heard = true;
-                tell(list);
-            });
+            let at = self.agent.now();
+            let mut heard = None;
+            let watch = self.watch(at, &mut known, &mut heard, &mut tell);
             // The new agent is asked at once for what came after the version that is known: nothing is lost.
             tokio::select! {
-                why = watch => {
-                    if heard {
+                (end, why) = watch => {
+                    let lasted = heard.is_some_and(|heard| self.deadlines.clock().now() - heard > LASTED);
+                    if lasted {
                         pacing.heard();
                     }
-                    pause = if pushed { 0.0 } else { pacing.again() };
+                    pause = match (pushed, end) {
+                        (true, _) if lasted => 0.0,
+                        // Prevents an agent that ends every watch from being asked without a pause.
+                        (true, _) => KNOCK,
+                        (false, End::Silence) if lasted => pacing.first_within(REOPEN),
+                        (false, _) => pacing.again(),
+                    };
                     info!(self.log, "discovery watch ended"; "why" => why, "again_in_ms" => pause.round());
                 }
                 () = self.agent.moved_from(at) => pause = 0.0,
@@ -77,27 +90,38 @@
         }
     }
 
-    /// One watch, until it ends; tells why.
-    async fn watch(&self, at: SocketAddr, known: &mut Option<u64>, mut tell: impl FnMut(List)) -> String {
+    /// One watch, until it ends; tells why. `heard` is when it first said a whole line.
+    async fn watch(
+        &self,
+        at: SocketAddr,
+        known: &mut Option<u64>,
+        heard: &mut Option<Millis>,
+        tell: &mut impl FnMut(List),
+    ) -> (End, String) {
         // Without an index the agent gives the whole list.
         let index = known.map(|known| format!("&index={known}")).unwrap_or_default();
         let ask = format!("GET /v1/endpoints?stream=1{index} HTTP/1.1\r\nHost: {at}\r\n\r\n");
-        let mut lines = Lines::default();
+        let asked = self.deadlines.clock().now();
         let opened = match self.site.settings.list_on_request {
             true => open(at, ask, self.deadlines.clone()).await,
-            false => self.knock(at, ask, &mut lines).await,
+            false => Ok(self.knock(at, ask).await),
         };
-        let mut stream = match opened {
-            Ok(stream) => stream,
-            Err(why) => return why,
+        let (mut stream, mut lines, mut first) = match opened {
+            Ok(opened) => opened,
+            Err(why) => return (End::Failure, why),
         };
+        let now = || self.deadlines.clock().now();
+        let mut spoke = now();
+        info!(self.log, "discovery watch opened"; "agent" => %at, "ms" => (spoke - asked).round());
         loop {
             loop {
-                let list = match lines.next() {
+                let list = match first.take().map_or_else(|| lines.next(), |line| Ok(Some(line))) {
                     Ok(Some(text)) => read_line(&text, *known, &self.site.places),
                     Ok(None) => break,
-                    Err(why) => return why.into(),
+                    Err(why) => return (End::Failure, why.into()),
                 };
+                spoke = now();
+                heard.get_or_insert(spoke);
                 match list {
                     Ok(Some(list)) => {
                         *known = Some(list.generation);
@@ -108,35 +132,43 @@
                         // What was missed is not known: the next watch begins with the whole list.
                         *known = None;
                         warn!(self.log, "discovery told something unreadable"; "why" => &why);
-                        return why;
+                        return (End::Failure, why);
                     }
                 }
             }
-            match self.deadlines.within(SILENCE, read_more(&mut stream, &mut lines.buffer)).await {
+            // From the last whole line, not from the last byte: half a line says nothing.
+            let more = read_more(&mut stream, &mut lines.buffer);
+            match self.deadlines.within(spoke + SILENCE - now(), more).await {
                 Some(Ok(true)) => {}
-                Some(Ok(false)) => return "it ended".into(),
-                Some(Err(e)) => return e.to_string(),
-                None => return "silence".into(),
+                Some(Ok(false)) => return (End::Failure, "it ended".into()),
+                Some(Err(e)) => return (End::Failure, e.to_string()),
+                None => return (End::Silence, "silence".into()),
             }
         }
     }
-}
 
-impl Discovery {
-    /// Begins a watch again and again until one says something. Prevents one that the agent never answers, as it was
-    /// begun while discovery was down, from being waited for when others are told already.
-    async fn knock(&self, at: SocketAddr, ask: String, lines: &mut Lines) -> Result<TcpStream, String> {
+    /// Begins a watch again and again until one says a whole line. Prevents one that the agent never answers, or only
+    /// with half a word, as it was begun while discovery was down, from being waited for when others are told already.
+    async fn knock(&self, at: SocketAddr, ask: String) -> Opened {
         let mut open_ones = JoinSet::new();
         let mut order = VecDeque::new();
+        let accepted = Rc::new(Cell::new(false));
         loop {
-            let (ask, deadlines) = (ask.clone(), self.deadlines.clone());
+            let (ask, deadlines, accepted_one) = (ask.clone(), self.deadlines.clone(), accepted.clone());
             let one = open_ones.spawn_local(async move {
-                let mut stream = open(at, ask, deadlines).await?;
-                let mut buffer = BytesMut::new();
-                match read_more(&mut stream, &mut buffer).await {
-                    Ok(true) => Ok((stream, buffer)),
-                    Ok(false) => Err("it ended".to_owned()),
-                    Err(e) => Err(e.to_string()),
+                let (mut stream, mut lines, _) = open(at, ask, deadlines).await?;
+                loop {
+                    if let Some(line) = lines.next()? {
+                        return Ok::<Opened, String>((stream, lines, Some(line)));
+                    }
+                    if lines.begun {
+                        accepted_one.set(true);
+                    }
+                    match read_more(&mut stream, &mut lines.buffer).await {
+                        Ok(true) => {}
+                        Ok(false) => return Err("it ended".to_owned()),
+                        Err(e) => return Err(e.to_string()),
+                    }
                 }
             });
             order.push_back(one);
@@ -153,30 +185,52 @@
                 }
                 std::future::pending().await
             };
-            if let Some((stream, buffer)) = self.deadlines.within(KNOCK, next).await {
-                lines.buffer = buffer;
-                return Ok(stream);
+            let mut next = std::pin::pin!(next);
+            let mut opened = self.deadlines.within(KNOCK, &mut next).await;
+            if opened.is_none() && accepted.take() {
+                opened = self.deadlines.within(ACCEPTED - KNOCK, next).await;
+            }
+            if let Some(opened) = opened {
+                return opened;
             }
         }
     }
 }
 
+/// How a watch ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// It fell silent.
+    Silence,
+    /// It could not be opened, was ended, or cannot be read.
+    Failure,
+}
+
+/// A watch, and its first line where that has come.
+type Opened = (TcpStream, Lines, Option<BytesMut>);
+
 /// Connects and asks.
-async fn open(at: SocketAddr, ask: String, deadlines: Deadlines) -> Result<TcpStream, String> {
+async fn open(at: SocketAddr, ask: String, deadlines: Deadlines) -> Result<Opened, String> {
     let Some(Ok(mut stream)) = deadlines.within(CONNECT, connect(at)).await else {
         return Err("no connection".into());
     };
     stream.write_all(ask.as_bytes()).await.map_err(|e| e.to_string())?;
-    Ok(stream)
+    Ok((stream, Lines::default(), None))
 }
 
-/// The lines of a watch's chunked answer, however they are cut.
+/// The lines of a watch's chunked answer, however they are cut; an object that is indented over several is one of them.
 #[derive(Debug, Default)]
 pub(super) struct Lines {
     /// What has come and was not looked at.
     pub(super) buffer: BytesMut,
     begun: bool,
     line: BytesMut,
+    /// So much of the line was looked at for its end, ...
+    looked: usize,
+    /// ... so many brackets are open there, ...
+    depth: usize,
+    /// ... and it is within a text, behind a backslash.
+    within: (bool, bool),
 }
 
 impl Lines {
@@ -193,8 +247,8 @@
             }
         }
         loop {
-            if let Some(end) = self.line.iter().position(|b| *b == b'\n') {
-                return Ok(Some(self.line.split_to(end + 1)));
+            if let Some(line) = self.whole() {
+                return Ok(Some(line));
             }
             match http::peek_chunk(&self.buffer, http::LIST) {
                 Ok(Some((data, _))) if data.is_empty() => return Err("the watch was ended"),
@@ -210,6 +264,34 @@
             }
         }
     }
+
+    /// Takes a whole line off the front of what has come. It ends where no bracket is open; within a text no line ends, so
+    /// that is one of garbage.
+    fn whole(&mut self) -> Option<BytesMut> {
+        while let Some(byte) = self.line.get(self.looked) {
+            self.looked += 1;
+            self.within = match (byte, self.within) {
+                (b'\n', (text, _)) if text || self.depth == 0 => {
+                    let end = std::mem::take(&mut self.looked);
+                    (self.depth, self.within) = Default::default();
+                    return Some(self.line.split_to(end));
+                }
+                (_, (true, true)) => (true, false),
+                (b'\\', (true, false)) => (true, true),
+                (b'"', (text, false)) => (!text, false),
+                (b'{' | b'[', (false, _)) => {
+                    self.depth += 1;
+                    (false, false)
+                }
+                (b'}' | b']', (false, _)) => {
+                    self.depth = self.depth.saturating_sub(1);
+                    (false, false)
+                }
+                (_, within) => within,
+            };
+        }
+        None
+    }
 }
 
 /// Reads a line of a watch: none where it is only a sign of life.
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -161,8 +161,9 @@
 
 #[test]
 fn a_watch_has_the_same_lines_however_it_is_cut() {
-    const WATCH: &[u8] =
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{\"a\"\r\n6\r\n:1}\n\n{\r\n2\r\n}\n\r\n";
+    const WATCH: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+        4\r\n{\"a\"\r\n6\r\n:1}\n\n{\r\n2\r\n}\n\r\n\
+        16\r\n {\n  \"a\": [ \"\\\"}\",\n 2]\r\n3\r\n\n}\n\r\n7\r\n}\"a\n{}\n\r\n";
     fn lines(bytes: &[u8], cuts: &[u16]) -> Vec<Result<Vec<u8>, &'static str>> {
         let mut lines = Lines::default();
         in_pieces(bytes, cuts, |piece| {
@@ -176,7 +177,9 @@
         })
     }
     let whole: Vec<_> = lines(WATCH, &[]).into_iter().map(Result::unwrap).collect();
-    assert_eq!(whole, [&b"{\"a\":1}\n"[..], b"\n", b"{}\n"]);
+    // An indented one is whole at its last bracket; a text that goes over the end of a line is garbage by itself.
+    let indented = &b" {\n  \"a\": [ \"\\\"}\",\n 2]\n}\n"[..];
+    assert_eq!(whole, [&b"{\"a\":1}\n"[..], b"\n", b"{}\n", indented, b"}\"a\n", b"{}\n"]);
     check(|_, cuts| lines(WATCH, &cuts) == lines(WATCH, &[]));
     check(|garbage, cuts| {
         let damaged = [&WATCH[..47], &garbage].concat();
