See clients leave behind a long body, and let nothing begin to leave for who has gone

Found by reading for what else keeps a request going whose client has left: - While a piece of a long body waited for its first attempt (`upload`), the client's connection was not looked at at all. The system tells of an end behind unread bytes (as far as these fit what it holds for a connection); that is asked each 100 ms, also behind a flood of over 8 MiB. - Where the settings forbid cancelling, an attempt that still waited for its connection was written for nobody. The engine withdraws it: only what has not begun to be written ends (`Order::Withdraw`, decided by `Schedulings`). - SIGHUP before the configuration was read ended the program; it is caught first now. Not covered: a client with more unread bytes than the system holds for its connection.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 use std::sync::Mutex;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
@@ -34,14 +34,13 @@
     }
 }
 
-/// Has the configuration read again at each SIGHUP, from now on and to the end of the program, whose default is to
-/// end at it. One that cannot be used changes nothing.
+/// Has the configuration read again at each SIGHUP to the end of the program. One that cannot be used changes nothing.
 fn on_hangup(
+    mut hangups: Signal,
     first: Ways,
     reread: impl Fn() -> Result<Ways, ConfigError> + 'static,
     log: Logger,
-) -> io::Result<watch::Receiver<Ways>> {
-    let mut hangups = signal(SignalKind::hangup())?;
+) -> watch::Receiver<Ways> {
     let (ways, moved) = watch::channel(first);
     spawn_local(async move {
         while hangups.recv().await.is_some() {
@@ -57,7 +56,7 @@
             }
         }
     });
-    Ok(moved)
+    moved
 }
 
 /// `weldhub` serves the platform; `weldhub --ext-authz FILE` is set up by an operator's file.
@@ -65,20 +64,23 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         [] => {
-            let mut config = Config::from_env()?;
             node::block_on(async {
-                let ways = on_hangup(config.ways(), Config::ways_from_env, log.clone())?;
+                // Caught before the configuration is read: a newer one is not missed, nor does it end the program.
+                let hangups = signal(SignalKind::hangup())?;
+                let mut config = Config::from_env().map_err(io::Error::other)?;
+                let ways = on_hangup(hangups, config.ways(), Config::ways_from_env, log.clone());
                 let sockets = Sockets::get(&config.instance, log).await?;
                 config.instance.listen = sockets.listener.local_addr()?;
                 node::serve(config, sockets, log.clone(), ways, told_to_stop()).await
             })?;
         }
         ["--ext-authz", path] => {
-            let mut config = AuthzConfig::from_file(path)?;
             node::block_on(async {
+                let hangups = signal(SignalKind::hangup())?;
+                let mut config = AuthzConfig::from_file(path).map_err(io::Error::other)?;
                 let path = path.to_owned();
                 let reread = move || AuthzConfig::from_file(&path).map(|config| config.ways());
-                let ways = on_hangup(config.ways(), reread, log.clone())?;
+                let ways = on_hangup(hangups, config.ways(), reread, log.clone());
                 let listener = TcpListener::bind(config.instance.listen).await?;
                 config.instance.listen = listener.local_addr()?;
                 node::serve_authz(config, listener, log.clone(), ways, told_to_stop()).await
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -228,6 +228,9 @@
                 if self.close(id).is_some() {
                     self.tally.left += 1;
                     self.feed(Event::ClientLeft(id));
+                    // Also where the decisions may not cancel: what has not begun to leave never will.
+                    let out = self.flows.get(&id).into_iter().flat_map(|flow| flow.out.iter().map(|s| s.no));
+                    out.for_each(|no| self.order(Order::Withdraw(id, no)));
                 }
             }
             News::Uploaded(id) => self.uploaded(id),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -165,6 +165,8 @@
     },
     /// Give a scheduling up and report it ended like this, unless it ended before.
     GiveUp(RequestId, AttemptNo, Outcome),
+    /// Give a scheduling up of which nothing was written yet: nobody waits for it any more.
+    Withdraw(RequestId, AttemptNo),
     /// Service entries.
     List(List),
 }
--- a/src/net/schedulings.rs
+++ b/src/net/schedulings.rs
@@ -112,6 +112,14 @@
                     start(server, Job { id, question, wait, by, stage, given_up });
                 }
                 Order::GiveUp(flow, no, outcome) => self.give_up((flow, no), outcome),
+                Order::Withdraw(flow, no) => {
+                    let id = (flow, no);
+                    let waits =
+                        self.running.borrow().get(&id).is_some_and(|r| r.stage.get() == Stage::Waiting);
+                    if waits {
+                        self.give_up(id, Outcome::Cancelled);
+                    }
+                }
                 Order::List(list) => self.list(&list),
             }
         }
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
@@ -46,6 +46,8 @@
 /// Of what comes ahead of an answer so many bytes are read at the most: more than a system holds for a connection, so
 /// that the end behind all that a client has sent before it left is seen.
 const FLOOD: usize = 8 << 20;
+/// So often it is looked whether a client has left whose bytes are not read.
+const GONE: Millis = 100.0;
 
 /// What the front makes of a message.
 #[derive(Debug)]
@@ -535,7 +537,8 @@
             *buffer = BytesMut::new();
         }
         if ahead.dropped > FLOOD {
-            return std::future::pending().await;
+            self.gone(stream).await;
+            return false;
         }
         // Prevents a flood from keeping this thread to itself.
         tokio::task::yield_now().await;
@@ -748,7 +751,12 @@
             match body.take(buffer, PIECE) {
                 Ok(Some(data)) => {
                     let before = self.shared.deadlines.clock().now();
-                    if pieces.send(Piece::Data(data)).await.is_err() {
+                    let sent = tokio::select! {
+                        biased;
+                        sent = pieces.send(Piece::Data(data)) => sent,
+                        () = self.gone(stream) => return Upload::Left,
+                    };
+                    if sent.is_err() {
                         // The scheduling has ended: its verdict says what that means.
                         return std::future::pending().await;
                     }
@@ -774,6 +782,17 @@
         }
     }
 
+    /// Resolves once a client has left whose bytes nobody reads at the moment. Prevents a request from being sent on for one
+    /// that left while it waited, with unread bytes ahead of its end: of that end the system tells all the same.
+    async fn gone(&self, stream: &TcpStream) {
+        loop {
+            self.shared.deadlines.sleep(GONE).await;
+            if stream.ready(Interest::READABLE).await.is_ok_and(|ready| ready.is_read_closed()) {
+                return;
+            }
+        }
+    }
+
     /// Reads out the rest of a body that was answered half way, as long as it comes as fast as a body must; whether it
     /// came to its end, so that the connection can go on. Prevents a reset from cutting off a client that sends all
     /// before it reads its answer. Its connection is closed where room is needed.
--- a/tests/attempts_on_sockets.rs
+++ b/tests/attempts_on_sockets.rs
@@ -169,6 +169,27 @@
     });
 }
 
+#[test]
+fn what_is_withdrawn_ends_only_where_nothing_of_it_was_written() {
+    local(async {
+        let server = Full::new().await;
+        let mut side = Side::start(server.at(), 5000.0);
+        side.order(1, None);
+        side.orders.send(Order::Withdraw(RequestId(1), AttemptNo(1))).unwrap();
+        assert_eq!(side.ended().await, (RequestId(1), Outcome::Cancelled));
+        assert_eq!(server.all_said().await, "");
+        // This one is out: whoever may not cancel it lets it run.
+        let listener = listener().await;
+        let mut side = Side::start(listener.local_addr().unwrap(), 5000.0);
+        side.order(2, None);
+        let (mut server, _) = listener.accept().await.unwrap();
+        request(&mut server).await;
+        side.orders.send(Order::Withdraw(RequestId(2), AttemptNo(1))).unwrap();
+        server.write_all(&good("one")).await.unwrap();
+        assert_eq!(side.ended().await, (RequestId(2), Outcome::Served));
+    });
+}
+
 #[test]
 fn a_repeat_whose_window_ends_between_its_order_and_its_turn_is_never_written() {
     local(async {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -298,6 +298,26 @@
     });
 }
 
+/// Its body is long and its first attempt waits for a connection: what has come of the body is not read on meanwhile.
+#[test]
+fn a_client_whose_long_body_waits_is_seen_to_leave_behind_it() {
+    local(async {
+        let mut side = Side::start(8, true).await;
+        for whole in [true, false] {
+            let mut client = Crosser::new(side.at).await;
+            let text = submit("a", 1400).replace("Content-Length: 4", "Content-Length: 120000");
+            client.write(&text[..text.len() - 4]);
+            client.reads.write_all(&vec![b'x'; if whole { 120_000 } else { 100_000 }]).await.unwrap();
+            let News::Arrived(_, terms, question, _verdict) = side.news.recv().await.unwrap() else {
+                panic!("it arrives");
+            };
+            assert!(terms.uploads && question.rest.is_some());
+            drop(client);
+            left(&mut side).await;
+        }
+    });
+}
+
 #[test]
 fn a_client_that_resets_its_connection_behind_what_it_sent_is_seen_to_leave() {
     local(async {
