--- a/src/config.rs
+++ b/src/config.rs
@@ -167,7 +167,7 @@
     pub conn_idle: Millis,
     /// A connection that is not up by then never will be.
     pub connect_timeout: Millis,
-    /// The longest that a turned-down client is told to keep away.
+    /// The longest that a rejected client is told to keep away.
     pub max_retry_after: Millis,
 }
 
@@ -248,7 +248,7 @@
     }
 
     /// The same, for a daemon: its clients are always told when to come back, also where the settings say
-    /// that the simulator's are not, since a turned-down flow is answered at once.
+    /// that the simulator's are not, since a rejected flow is answered at once.
     pub fn with_advice(mut self) -> Self {
         self.settings.max_retry_after = self.max_retry_after;
         self
@@ -780,7 +780,7 @@
 /// The operator's choices for the authorisation front.
 #[derive(Debug, Clone)]
 pub struct Authz {
-    /// Failures allow the request; turn-downs never do.
+    /// Failures allow the request; rejections never do.
     pub fail_open: bool,
     /// How long a caller waits that does not say.
     pub default_timeout: Millis,
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -47,7 +47,7 @@
     pub schedulings: u16,
     /// A call to the counter that is not answered by then is taken for unanswered.
     pub counter_timeout: Millis,
-    /// When a turned-down client is to come back where the decisions do not say.
+    /// When a rejected client is to come back where the decisions do not say.
     pub retry_after: Millis,
 }
 
@@ -91,7 +91,7 @@
 #[derive(Debug, Default, PartialEq, Eq)]
 struct Tally {
     served: u64,
-    turned_down: u64,
+    rejected: u64,
     no_room: u64,
     failed: u64,
     left: u64,
@@ -361,7 +361,7 @@
                 let tally = std::mem::take(&mut self.tally);
                 if tally != Tally::default() || !self.flows.is_empty() {
                     info!(self.log, "tally";
-                        "served" => tally.served, "turned_down" => tally.turned_down,
+                        "served" => tally.served, "rejected" => tally.rejected,
                         "no_room" => tally.no_room, "failed" => tally.failed, "left" => tally.left,
                         "schedulings" => tally.schedulings, "retried" => tally.retried,
                         "open" => self.flows.len());
@@ -375,7 +375,7 @@
     fn answer(&mut self, client: oneshot::Sender<Verdict<A>>, verdict: Verdict<A>) {
         match verdict {
             Verdict::Served(_) => self.tally.served += 1,
-            Verdict::TurnDown(_) => self.tally.turned_down += 1,
+            Verdict::Rejected(_) => self.tally.rejected += 1,
             Verdict::NoRoom(_) => self.tally.no_room += 1,
             Verdict::Failed { .. } => self.tally.failed += 1,
         }
@@ -460,7 +460,7 @@
             Action::Refuse(id, after) => {
                 if let Some(client) = self.close(id) {
                     let after = after.filter(|after| *after > 0.0).unwrap_or(self.bounds.retry_after);
-                    self.answer(client, Verdict::TurnDown(after));
+                    self.answer(client, Verdict::Rejected(after));
                 }
             }
             Action::Fail(id) => {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -41,7 +41,7 @@
     /// What a real server answered.
     Served(A),
     /// The decisions refuse it: come again after this time.
-    TurnDown(Millis),
+    Rejected(Millis),
     /// The table of flows is full: it was never looked at.
     NoRoom(Millis),
     /// It failed; no promise either way.
@@ -56,7 +56,7 @@
     pub fn end(&self) -> End {
         match self {
             Self::Served(_) => End::Completed,
-            Self::TurnDown(_) | Self::NoRoom(_) => End::Rejected,
+            Self::Rejected(_) | Self::NoRoom(_) => End::Rejected,
             Self::Failed { .. } => End::Failed,
         }
     }
--- a/src/fronts/ext_authz/mod.rs
+++ b/src/fronts/ext_authz/mod.rs
@@ -112,7 +112,7 @@
         };
         match verdict {
             Verdict::Served(answer) => answer,
-            Verdict::TurnDown(after) => {
+            Verdict::Rejected(after) => {
                 denied(StatusCode::TooManyRequests, Code::ResourceExhausted, "turned down", Some(after))
             }
             Verdict::NoRoom(after) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,7 +231,7 @@
     }
 }
 
-/// Why settings were turned down.
+/// Why settings were rejected.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingsError(pub String);
 
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -928,7 +928,7 @@
                         served(out, &answer, chunked, bodiless, close);
                         rest = answer.rest.map(|rest| (rest, chunked));
                     }
-                    Verdict::TurnDown(after) => plain(out, 429, "turned down", Some(after), close),
+                    Verdict::Rejected(after) => plain(out, 429, "turned down", Some(after), close),
                     Verdict::NoRoom(after) => plain(out, 503, "no room", Some(after), close),
                     Verdict::Failed { timed_out: true } => plain(out, 504, "no answer in time", None, close),
                     Verdict::Failed { timed_out: false } => plain(out, 502, "failed", None, close),
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -110,7 +110,7 @@
 }
 
 #[test]
-fn a_customer_beyond_its_quota_is_turned_down_at_once_and_not_scheduled() {
+fn a_customer_beyond_its_quota_is_rejected_at_once_and_not_scheduled() {
     local(async {
         let authoriser = Authoriser::start(Manner::Answer(allow())).await;
         let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
@@ -121,7 +121,7 @@
         }
         let (status, after) = denial(&ask(at, MOVE, 6).await);
         assert_eq!((status, after.as_deref()), (429, Some("1")));
-        // What fits is still let in, and what was turned down was never sent, then or later.
+        // What fits is still let in, and what was rejected was never sent, then or later.
         assert_eq!(ask(at, BOARD, 3).await, allow());
         assert_eq!(authoriser.count(), 5);
         assert!(authoriser.calls.lock().unwrap().iter().all(|(m, _)| *m != message(MOVE, 6)));
@@ -282,7 +282,7 @@
         assert!(allowed[0] > 0 && allowed[1] > 0 && sum < 8, "{allowed:?}");
         assert_eq!(authoriser.count() as u32, 8 + sum);
         let counted: f64 = counter.numbers.borrow().values().sum();
-        // A turned-down check's units go back with the next call: one of each instance may still be there.
+        // A rejected check's units go back with the next call: one of each instance may still be there.
         assert!((3 * sum..=3 * sum + 6).contains(&(counted as u32)), "{counted} for {allowed:?}");
     });
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn a_flow_beyond_the_quota_is_turned_down_and_told_when_to_come_back() {
+fn a_flow_beyond_the_quota_is_rejected_and_told_when_to_come_back() {
     local(async {
         let (server, ingress, _agent) = one(ok("x")).await;
         let mut client = Client::new(ingress.at).await;
