--- a/tests/attempts_on_sockets.rs
+++ b/tests/attempts_on_sockets.rs
@@ -18,8 +18,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use weldhub::config::Config;
-use weldhub::deadlines::{Clock, Deadlines};
-use weldhub::entries::{List, ServiceEntry, server_id};
+use weldhub::deadlines::Clock;
+use weldhub::entries::server_id;
 use weldhub::exchange::{Exchange, News, Order};
 use weldhub::interface::*;
 use weldhub::net::budget::{Budget, Elsewhere};
@@ -44,14 +44,7 @@
         let mut site = Config::read(&told, |_| None).unwrap().instance.site;
         site.connect_timeout = connect_timeout;
         let (exchange, news) = Exchange::new();
-        let deadlines = Deadlines::new(Clock::new());
-        let sweeping = deadlines.clone();
-        spawn_local(async move {
-            loop {
-                sweeping.first_due().await;
-                sweeping.sweep(sweeping.clock().now());
-            }
-        });
+        let deadlines = swept();
         let role = watch::Sender::new(Role::Active);
         let (passing, _) = mpsc::unbounded_channel();
         let (elsewhere, open) = (Elsewhere::default(), Rc::new(Cell::new(0)));
@@ -63,17 +56,7 @@
         let (orders, ordered) = mpsc::unbounded_channel();
         let adopted = mpsc::unbounded_channel().1;
         spawn_local(side.run(ordered, adopted));
-        let entry = ServerEntry {
-            server: server_id("s1"),
-            state: ServerState::Ready,
-            weight: 1.0,
-            zone: ZoneId(0),
-            cell: CellId(0),
-            kind: KindId(0),
-            last_start: None,
-        };
-        let entries = vec![ServiceEntry { entry, at: Some(server) }];
-        orders.send(Order::List(List { generation: 1, whole: true, entries })).unwrap();
+        orders.send(Order::List(one_ready("s1", server))).unwrap();
         Self { orders, news, clock, _role: role }
     }
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -29,17 +29,6 @@
     Config::read(&told, |_| None).unwrap().instance.site
 }
 
-/// Sweeps deadlines as an engine does.
-fn sweeps(deadlines: &Deadlines) {
-    let deadlines = deadlines.clone();
-    spawn_local(async move {
-        loop {
-            deadlines.first_due().await;
-            deadlines.sweep(deadlines.clock().now());
-        }
-    });
-}
-
 /// A server side alone: what it sends on is news to the test, which answers and signals in the very turn it wants to.
 struct Side {
     at: SocketAddr,
@@ -60,10 +49,7 @@
         let listener = listener().await;
         let at = listener.local_addr().unwrap();
         let (exchange, news) = Exchange::new();
-        let deadlines = Deadlines::new(Clock::new());
-        if by_itself {
-            sweeps(&deadlines);
-        }
+        let deadlines = if by_itself { swept() } else { Deadlines::new(Clock::new()) };
         let (phase, role, drain) = (
             watch::Sender::new(Phase::Serving),
             watch::Sender::new(Role::Active),
@@ -384,6 +370,8 @@
         let mut side = Side::start(8, true).await;
         let (mut client, verdict) = waits(&mut side, "a").await;
         client.write(&board("b", 900, 1));
+        // Another one, who came later, has its answer: these bytes have been read ahead.
+        side.idle().await;
         verdict.send(served("1")).unwrap();
         assert_eq!(&client.answer().await.unwrap().body[..], b"1");
         side.sent_on().await.send(served("2")).unwrap();
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -1,13 +1,15 @@
 //! The engine between exchange and decisions: one final answer a flow, whatever comes late or never.
 
+mod stand_ins;
+
 use slog::Logger;
+use stand_ins::one_ready;
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use weldhub::Limiter;
 use weldhub::config::{Pairs, Site};
 use weldhub::deadlines::{Clock, Deadlines};
 use weldhub::engine::{Bounds, Engine, Outlets};
-use weldhub::entries::{List, ServiceEntry, server_id};
 use weldhub::exchange::{Call, Exchange, News, Order, Report, Terms, Verdict, Waiting};
 use weldhub::interface::*;
 use weldhub::maintenance::Maintenance;
@@ -44,17 +46,7 @@
         bounds,
         log,
     );
-    let entry = ServerEntry {
-        server: server_id("s1"),
-        state: ServerState::Ready,
-        weight: 1.0,
-        zone: ZoneId(0),
-        cell: CellId(0),
-        kind: KindId(0),
-        last_start: None,
-    };
-    let entries = vec![ServiceEntry { entry, at: "127.0.0.1:1".parse().ok() }];
-    spawn_local(engine.run(Some(List { generation: 1, whole: true, entries })));
+    spawn_local(engine.run(Some(one_ready("s1", "127.0.0.1:1".parse().unwrap()))));
     Bed { exchange, orders, calls }
 }
 
--- a/tests/schedulings.rs
+++ b/tests/schedulings.rs
@@ -1,23 +1,19 @@
 //! What the client sides of all fronts share: each scheduling ends once, none starts on a drained real server.
 
+mod stand_ins;
+
+use stand_ins::one_ready;
 use std::cell::Cell;
 use tokio::sync::{mpsc, oneshot};
-use weldhub::entries::{List, ServiceEntry, server_id};
+use weldhub::entries::{List, server_id};
 use weldhub::exchange::{Exchange, News, Order};
 use weldhub::interface::*;
 use weldhub::net::schedulings::{Job, Schedulings, Stage};
 
 fn list(state: ServerState) -> List {
-    let entry = ServerEntry {
-        server: server_id("s1"),
-        state,
-        weight: 1.0,
-        zone: ZoneId(0),
-        cell: CellId(0),
-        kind: KindId(0),
-        last_start: None,
-    };
-    List { generation: 1, whole: true, entries: vec![ServiceEntry { entry, at: "127.0.0.1:1".parse().ok() }] }
+    let mut list = one_ready("s1", "127.0.0.1:1".parse().unwrap());
+    list.entries[0].entry.state = state;
+    list
 }
 
 /// Starts a scheduling that has come to this stage, then does what `then` orders.
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -28,7 +28,10 @@
 use tokio::task::{AbortHandle, LocalSet, spawn_local};
 use tonic::server::{Grpc, UnaryService};
 use tonic::{Response, Status};
+use weldhub::deadlines::{Clock, Deadlines};
+use weldhub::entries::{List, ServiceEntry, server_id};
 use weldhub::fronts::ext_authz::proto::Raw;
+use weldhub::interface::{CellId, KindId, ServerEntry, ServerState, ZoneId};
 use weldhub::net::http::{Kind, Message, take_message};
 
 /// Runs a test on one thread; it fails if it takes longer than anything here may.
@@ -75,6 +78,33 @@
     });
 }
 
+/// Deadlines that are swept as an engine does it, for a part that runs alone.
+pub fn swept() -> Deadlines {
+    let deadlines = Deadlines::new(Clock::new());
+    let sweeping = deadlines.clone();
+    spawn_local(async move {
+        loop {
+            sweeping.first_due().await;
+            sweeping.sweep(sweeping.clock().now());
+        }
+    });
+    deadlines
+}
+
+/// A list of one ready real server.
+pub fn one_ready(name: &str, at: SocketAddr) -> List {
+    let entry = ServerEntry {
+        server: server_id(name),
+        state: ServerState::Ready,
+        weight: 1.0,
+        zone: ZoneId(0),
+        cell: CellId(0),
+        kind: KindId(0),
+        last_start: None,
+    };
+    List { generation: 1, whole: true, entries: vec![ServiceEntry { entry, at: Some(at) }] }
+}
+
 /// Longer than a connection to a real server rests after an answer: it may carry another flow then.
 pub async fn rested() {
     tokio::time::sleep(std::time::Duration::from_millis(80)).await;
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -17,7 +17,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, spawn_local};
 use weldhub::config::{Config, Ways};
-use weldhub::deadlines::{Clock, Deadlines};
 use weldhub::entries::List;
 use weldhub::net::discovery::Discovery;
 use weldhub::net::http::Kind;
@@ -62,14 +61,7 @@
     text["settings"]["balancers"] = json!(instances);
     text["settings"]["membershipMode"] = json!(if on_request { "on_request" } else { "pushed" });
     let config = Config::read(&text.to_string(), |_| None).unwrap();
-    let deadlines = Deadlines::new(Clock::new());
-    let sweeping = deadlines.clone();
-    spawn_local(async move {
-        loop {
-            sweeping.first_due().await;
-            sweeping.sweep(sweeping.clock().now());
-        }
-    });
+    let deadlines = swept();
     let (ways, moved) = watch::channel(config.ways());
     let agent = Way::new(&moved, agent, |ways| ways.discovery);
     let discovery = Discovery { agent, site: config.instance.site, deadlines, seed, log: quiet() };
