--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -19,6 +19,7 @@
 use weldhub::deadlines::{Clock, Deadlines};
 use weldhub::exchange::{Exchange, News, Verdict};
 use weldhub::fronts::platform;
+use weldhub::interface::Millis;
 use weldhub::net::budget::{Budget, Elsewhere};
 use weldhub::net::client_side::{Answer, Question};
 use weldhub::net::server_side::{Drain, Phase, Role, Room, ServerSide, Signals};
@@ -29,6 +30,9 @@
     Config::read(&told, |_| None).unwrap().instance.site
 }
 
+/// Once it drains, all must be answered within this.
+const LAST: Millis = 1000.0;
+
 /// A server side alone: what it sends on is news to the test, which answers and signals in the very turn it wants to.
 struct Side {
     at: SocketAddr,
@@ -57,7 +61,7 @@
         );
         let signals = Signals { role: role.subscribe(), phase: phase.subscribe(), drain: drain.subscribe() };
         let budget = Budget::new(1 << 20, Elsewhere::default());
-        let room = Room { connections, turned_away, idle, budget, last: 3000.0 };
+        let room = Room { connections, turned_away, idle, budget, last: LAST };
         let (passing, _) = mpsc::unbounded_channel();
         let site = site();
         let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
@@ -153,14 +157,19 @@
 fn half_a_request_that_comes_as_it_begins_to_drain_is_heard_to_its_end() {
     local(async {
         let mut side = Side::start(8, true).await;
-        let (mut client, text) = (side.idle().await, board("crosses", 900, 1));
+        let (mut client, text) = (side.idle().await, board("crosses", 1400, 1));
         client.write(&text[..30]);
         side.phase.send_replace(Phase::Draining);
         // It has closed what is idle once this one is told so.
         let mut other = Crosser::new(side.at).await;
         assert!(other.answer().await.is_none());
         client.write(&text[30..]);
-        side.sent_on().await.send(served("2")).unwrap();
+        let News::Arrived(_, terms, _, verdict) = side.news.recv().await.unwrap() else {
+            panic!("it arrives")
+        };
+        // It ends before the process does, however long its client would wait.
+        assert!(terms.left < LAST, "{}", terms.left);
+        verdict.send(served("2")).unwrap();
         let answer = client.answer().await.unwrap();
         assert_eq!((&answer.body[..], answer.head.close), (&b"2"[..], true));
     });
