Keep each ingress's slice of a quota its own, and pool unused units at the counter

Cause: each ingress kept a store of the whole quota and corrected it by what totals told of the others. Its level was cut off at nothing, so a store that was empty forgot what others had drawn beyond that, and filled again at the whole rate; what slices let in between two calls was told at the next call, seconds later where calls are few; and an answer let in all that the store held.

Change: the number of a customer tells what was borrowed less what was lent (src/quota_pool.rs). A unit is lent after it has left its slice and used after it was counted, so a call that fails or is late loses units and never makes any. Sets of which a slice holds less than one unit of a burst go on by totals of what all draw.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pacing;
 mod prng;
 mod quota_messages;
+mod quota_pool;
 mod ramp;
 pub mod recovery;
 pub mod rules;
--- a/src/quota_messages.rs
+++ b/src/quota_messages.rs
@@ -3,9 +3,14 @@
 
 use crate::interface::*;
 use crate::mail::Mail;
-use crate::rules::{ASK_WAIT, WEIGHT, counter_keep, counter_step};
+use crate::rules::{ASK_WAIT, FEW, WEIGHT, sparse};
 use crate::state::*;
 
+/// The counter keeps a name as long as it may; less where it holds attempts that a killed gateway had out.
+const COUNTER_KEEP: [Millis; 2] = [60_000.0, 15_000.0];
+/// The window of a sparse customer's number, in multiples of the time in which its burst fills.
+pub(crate) const WINDOW: f64 = 2.0;
+
 impl Limiter {
     /// A peer told its pressure.
     pub(crate) fn hear_pressure(&mut self, now: Millis, pressure: Option<f64>) {
@@ -66,19 +71,21 @@
     }
 
     /// A request draws its units once, when it is first sent on.
-    pub(crate) fn draw(&mut self, request: &Request, inside: bool, counted: bool) {
+    pub(crate) fn draw(&mut self, request: &Request, inside: bool, single: bool) {
+        let pooled = self.pooled(request.plan, request.spread);
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
         customer.ceiling.level -= request.units;
-        if inside {
-            customer.draw(request.units);
-        }
-        if inside && !counted || !inside && counted {
-            customer.call.pending[0] += if inside { request.units } else { -request.units };
+        match (pooled, inside) {
+            (true, true) => customer.draw_pooled(request.units),
+            (false, true) => customer.draw(request.units),
+            // What was to be counted is beyond the quota: it goes back.
+            (false, false) if single => customer.call.pending[0] -= request.units,
+            (_, false) => {}
         }
     }
 
-    /// Adds what was drawn here, and what is out where that is capped, to the customer's number. The total
-    /// tells what others drew and have out: units below `counter_step`, attempts out in multiples of it.
+    /// Adds to the customer's number what was drawn here, or borrowed less what was lent where the quota has a pool, and
+    /// what is out where that is capped: units below `counter_step`, attempts out in multiples of it.
     pub(crate) fn call(
         now: Millis,
         id: CustomerId,
@@ -87,9 +94,26 @@
         acts: &mut Vec<Action>,
     ) {
         if customer.call.waiting.is_none() {
-            let ([units, out], step) = (customer.call.begin(now), counter_step(plan, customer.spread));
+            let ([drawn, out], step) = (customer.call.begin(now), counter_step(plan, customer.spread));
+            let pooled = plan.rate > 0.0 && !sparse(plan, customer.spread);
+            let units = if pooled { customer.pool.begin(now) } else { drawn };
             let keep = counter_keep(plan, customer.spread);
             acts.push(Action::Count(CounterName(id.0), units + out * step, keep));
         }
     }
 }
+
+/// What one attempt out counts beside units in one number; 0 where a slice of the cap is far below one.
+pub(crate) fn counter_step(plan: &Plan, spread: u16) -> f64 {
+    let most = plan.rate.max(1.0) * COUNTER_KEEP[0] / 1000.0 + plan.burst;
+    let counts = plan.open_cap > 0.0 && f64::from(spread) <= FEW;
+    if counts { (2.0 * most).log2().ceil().exp2() } else { 0.0 }
+}
+
+/// How long a customer's number is kept: not long where a killed gateway's attempts may be in it.
+pub(crate) fn counter_keep(plan: &Plan, spread: u16) -> Millis {
+    match sparse(plan, spread) {
+        true => (1000.0 * WINDOW * plan.burst / plan.rate).min(COUNTER_KEEP[0]),
+        false => COUNTER_KEEP[usize::from(counter_step(plan, spread) > 0.0)],
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,8 @@
 
 use crate::interface::*;
 use crate::mail::{Ask, Mail, lines};
+use crate::quota_messages::{counter_keep, counter_step};
+use crate::quota_pool::PoolTerms;
 use crate::state::*;
 use crate::window::{Bucket, poisson_below};
 use std::collections::BTreeSet;
@@ -20,17 +22,11 @@
 const REPORT: [Millis; 2] = [25.0, 200.0];
 /// So many report intervals without a word are silence; two lost in a row are chance.
 const SILENT_REPORTS: f64 = 6.0;
-/// The counter keeps a name as long as it may; less where it holds attempts that a killed gateway had out.
-const COUNTER_KEEP: [Millis; 2] = [60_000.0, 15_000.0];
-/// A total lower than expected by up to this many of the largest requests was given back by others.
-const GIVEN_BACK: f64 = 4.0;
 /// What a failed call leaves of the part of tries that call, what others add, and the time-outs left to wait.
 const CALLS: (f64, f64, f64) = (0.7, 0.02, 3.0);
 /// Calls that take more than this part of their time-out wait in a line: fewer are made, before any fails.
 const CALL_DELAY: f64 = 0.4;
-/// So long a customer's total and the others' rate told by two of them are gone by.
-const NEWS: Millis = 8000.0;
-/// The part of their rates that others use before any news, and attempts out for each that a rate tells of.
+/// The part of their rates that others are taken to use, and attempts out for each that a rate tells of.
 const USED: (f64, f64) = (0.5, 1.3);
 /// What others ask for in so long may be granted there before it is heard of.
 const AHEAD: Millis = 300.0;
@@ -38,8 +34,14 @@
 const SOON: f64 = 0.1;
 /// Memory of how many counted tries fit, which is taken to hold for the others of their plan.
 const FIT_TAU: Millis = 20_000.0;
-/// A sparse customer's number is kept for so many times as long as its burst takes to fill.
-const WINDOW: f64 = 2.0;
+/// By what a customer's unused units are lent and borrowed. The slices hold whole bursts beside the pool.
+pub(crate) const POOL: PoolTerms = PoolTerms {
+    most: 0.25,
+    lease: CREDIT_TIME,
+    short_pause: 400.0,
+    lend_pause: [4000.0, 16_000.0],
+    lend_least: 1.0,
+};
 /// Up to so many gateways each has floors of its own; beyond, floors shrink so that their sum stays.
 pub(crate) const FEW: f64 = 12.0;
 /// A home silent for this long is asked once more, then done without: most round trips are less.
@@ -360,7 +362,7 @@
         let even = customer.even();
         let own = customer.asked.per_second(now, DEMAND_TAU);
         let others = customer.asked_elsewhere(now, DEMAND_TAU);
-        if customer.spread <= 1 || !self.hears(now, customer) {
+        if self.pooled(customer.plan, customer.spread) || customer.spread <= 1 || !self.hears(now, customer) {
             even
         } else if own + others > 0.0 {
             own / (own + others)
@@ -374,6 +376,7 @@
         let Some(customer) = self.customers.get(&id) else { return 0.0 };
         let (plan, living) = (self.plan(customer.plan), self.living_of(customer));
         let (hears, part) = (self.hears(now, customer), self.part(now, customer));
+        let pooled = self.pooled(customer.plan, customer.spread);
         // Prevents gateways that see the same units from all granting them before they hear of each other:
         // what others may draw meanwhile stays in the store, so that a second grant still finds its units.
         let most = f64::from(self.source == Source::Peers) * self.set.largest.max(1.0).min(plan.burst / 3.0);
@@ -382,11 +385,10 @@
         let Some(customer) = self.customers.get_mut(&id) else { return 0.0 };
         customer.living = living;
         let (store, slice) = customer.fill(now, rate, &plan, self.set.largest.max(1.0));
-        if hears {
-            (store - ahead).max(slice).min(store)
-        } else {
-            slice.max(customer.call.left(now, store, NEWS)).min(store)
+        if pooled {
+            return customer.pooled_units();
         }
+        if hears { (store - ahead).max(slice).min(store) } else { slice.min(store) }
     }
 
     /// This gateway's even slice of the hard ceiling; infinite where there is none.
@@ -478,9 +480,8 @@
             let left = plan.open_cap - others;
             let unheard = self.report_every() / REPORT[0];
             let (hears, out) = (self.hears(now, customer), customer.out);
-            let rate = if plan.rate > 0.0 { plan.rate * (1.0 - even) } else { f64::INFINITY };
-            let elsewhere =
-                customer.call.others.unwrap_or(rate * USED.0).min(rate) * self.out_for.or(latency) / 1000.0;
+            let rate = if plan.rate > 0.0 { plan.rate * (1.0 - even) * USED.0 } else { f64::INFINITY };
+            let elsewhere = rate * self.out_for.or(latency) / 1000.0;
             let limit = match self.source {
                 Source::Peers if hears => share.ceil().min(left).max(left - unheard),
                 Source::Counter if hears && counter_step(&plan, customer.spread) > 0.0 => left,
@@ -672,20 +673,32 @@
             return Some(Known::Denied);
         }
         let single = sparse(&plan, customer.spread);
-        let (store, slice) = customer.fill(now, plan.rate, &plan, self.set.largest.max(1.0));
-        if customer.spread <= 1 || !single && plan.rate > 0.0 && store < request.units {
+        let (_, slice) = customer.fill(now, plan.rate, &plan, self.set.largest.max(1.0));
+        if customer.spread <= 1 {
+            return Some(Known::Alone);
+        }
+        let own = if single { slice } else { customer.pooled_units() } >= request.units || plan.rate <= 0.0;
+        if !own && !single && customer.pool.is_short(now) {
             return Some(Known::Alone);
         }
         // Prevents more calls than the counter takes in from all failing: they go where the answer decides.
-        let own = slice.max(customer.call.left(now, store, NEWS)) >= request.units;
-        let part = if own { self.calls * self.calls } else { 2.0 * self.calls };
+        let part = match (own, single) {
+            (true, true) => self.calls.powi(2),
+            // A slice that holds the try lets it in without a call: it gains only while calls are plenty.
+            (true, false) => self.calls.powi(4),
+            (false, _) => 2.0 * self.calls,
+        };
         let part = if single { (part * decides.max(self.calls)).clamp(CALLS.1, 1.0) } else { part };
         if self.rng.unit() >= part {
             return Some(if single { known } else { Known::Alone });
         }
-        let stands_for = if single { 1.0 + likely * (1.0 - part) / part } else { 1.0 };
-        customer.call.held.push((request.id, request.units));
+        let stands_for = if single { 1.0 + likely * (1.0 - part) / part } else { 0.0 };
+        customer.call.held.push((request.id, request.units * stands_for.min(1.0)));
         customer.call.set_aside(request.units * stands_for, 1.0);
+        if !single && plan.rate > 0.0 && customer.call.waiting.is_none() {
+            // The pool goes first while calls are many: what stays in the slice is there when they are few.
+            customer.pool.borrow(if own { request.units } else { request.units - customer.pooled_units() });
+        }
         Self::call(now, request.customer, customer, &plan, acts);
         None
     }
@@ -718,7 +731,7 @@
             Verdict::Refused(wait) => wait,
             _ if self.send(now, &mut open, acts) => {
                 self.requests.insert(request.id, open);
-                return self.draw(&request, inside, counted || single);
+                return self.draw(&request, inside, single);
             }
             _ => self.mean_latency(request.class),
         };
@@ -726,7 +739,7 @@
             self.release(&open, acts);
         }
         match self.customers.get_mut(&request.customer) {
-            Some(customer) if counted && !single => customer.call.set_aside(request.units, -1.0),
+            Some(customer) if counted && !single => customer.call.set_aside(0.0, -1.0),
             Some(customer) if counted => customer.quiet_until = now + wait.min(QUIET[1]),
             Some(customer) if known == Known::Granted => customer.unasked -= request.units,
             _ => {}
@@ -895,6 +908,7 @@
         if self.source == Source::Peers && !self.homes() {
             acts.extend(self.reports());
         }
+        self.lend(now, acts);
         for id in std::mem::take(&mut self.untold) {
             let Some(customer) = self.customers.get_mut(&id) else { continue };
             let plan = self.set.plans.get(customer.plan.0).cloned().unwrap_or_default();
@@ -936,7 +950,7 @@
     }
 
     fn on_counted(&mut self, now: Millis, id: CustomerId, answer: CounterAnswer, acts: &mut Acts) {
-        let (me, slack, name) = (self.set.me, GIVEN_BACK * self.set.largest.max(1.0), id);
+        let (me, name) = (self.set.me, id);
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let Some([added, out]) = customer.call.waiting.take() else { return };
         let plan = self.set.plans.get(customer.plan.0).cloned().unwrap_or_default();
@@ -948,15 +962,13 @@
                 customer.store = Bucket::new(left.clamp(0.0, plan.burst), now);
             }
             CounterAnswer::Total(total) if total.is_finite() => {
-                let guess = (plan.rate * USED.0, DEMAND_TAU);
-                let step = (counter_step(&plan, customer.spread), slack);
-                let (news, others) = customer.call.take_in(now, total, [added, out], step, guess);
+                let step = counter_step(&plan, customer.spread);
+                let (owed, others) = customer.call.take_in(now, total, out, step);
                 customer.told.entry(me).or_default().out = others;
-                customer.others.add(now, news.max(0.0), DEMAND_TAU);
-                customer.store.settle(now, plan.rate, plan.burst, news);
+                customer.pool.counted(now, owed, POOL.most * plan.burst, &POOL);
             }
-            CounterAnswer::NotAdded => customer.call.undo([added, out]),
-            _ => customer.call.total = None, // It may have been added: the next is a fresh start.
+            CounterAnswer::NotAdded => customer.call_not_counted([added, out]),
+            _ => customer.call_unknown(),
         }
         // Prevents judging the counter by one's own standstill: what takes longer was not read at once.
         let waited = (now - customer.call.sent) / self.set.counter_timeout.max(1.0);
@@ -981,23 +993,8 @@
     }
 }
 
-/// Whether a gateway's slice of what a number's window lets in is under one request: then two of its totals
-/// have nothing to do with each other, and each is read by itself.
+/// Whether a gateway's slice of a burst is under one unit: then there is nothing to lend, and totals of what
+/// all draw are read, each by itself.
 pub(crate) fn sparse(plan: &Plan, spread: u16) -> bool {
-    plan.rate > 0.0 && WINDOW * plan.burst < f64::from(spread)
-}
-
-/// What one attempt out counts beside units in one number; 0 where a slice of the cap is far below one.
-pub(crate) fn counter_step(plan: &Plan, spread: u16) -> f64 {
-    let most = plan.rate.max(1.0) * COUNTER_KEEP[0] / 1000.0 + plan.burst;
-    let counts = plan.open_cap > 0.0 && f64::from(spread) <= FEW;
-    if counts { (2.0 * most).log2().ceil().exp2() } else { 0.0 }
-}
-
-/// How long a customer's number is kept: not long where a killed gateway's attempts may be in it.
-pub(crate) fn counter_keep(plan: &Plan, spread: u16) -> Millis {
-    match sparse(plan, spread) {
-        true => (1000.0 * WINDOW * plan.burst / plan.rate).min(COUNTER_KEEP[0]),
-        false => COUNTER_KEEP[usize::from(counter_step(plan, spread) > 0.0)],
-    }
+    plan.rate > 0.0 && plan.burst < f64::from(spread)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use crate::mail::{Ask, quarters, report};
 use crate::prng::Prng;
+use crate::quota_pool::PoolAccount;
 use crate::ramp::{SlowStart, WarmBackends};
 use crate::slow_start::SERVED_OVER;
 use crate::stats::Members;
@@ -16,7 +17,7 @@
 pub(crate) const TICK: TimerKey = TimerKey(1);
 
 /// Precedes what is handed over, which is not self-describing: raised with each change of what a limiter holds.
-const STATE_LAYOUT: &[u8] = b"limiter2";
+const STATE_LAYOUT: &[u8] = b"limiter3";
 
 /// The limiter of one gateway; its decisions are in `src/rules.rs`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -46,6 +47,8 @@
     pub(crate) requests: BTreeMap<RequestId, Open>,
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
     pub(crate) untold: BTreeSet<CustomerId>,
+    /// Customers of whose quota this gateway may lend to the pool.
+    pub(crate) lenders: BTreeSet<CustomerId>,
     pub(crate) peers: BTreeMap<GatewayId, Peer>,
     pub(crate) classes: Vec<ClassSeen>,
     pub(crate) capacity: Option<f64>,
@@ -111,6 +114,7 @@
             requests: BTreeMap::new(),
             customers: BTreeMap::new(),
             untold: BTreeSet::new(),
+            lenders: BTreeSet::new(),
             peers: BTreeMap::new(),
             capacity: None,
             able: 0.0,
@@ -194,6 +198,7 @@
             customer.call.held.clear();
             if customer.call.waiting.take().is_some() {
                 customer.call.total = None;
+                customer.pool.unknown();
             }
         }
         old.requests.retain(|_, open| open.attempts.iter().any(|a| a.out));
@@ -568,6 +573,7 @@
     pub(crate) out: f64,
     pub(crate) units_out: f64,
     pub(crate) call: Call,
+    pub(crate) pool: PoolAccount,
     pub(crate) others: Rate,
     pub(crate) seen: Millis,
     /// Units granted ahead, and until when.
@@ -594,8 +600,6 @@
     pub(crate) held: Vec<(RequestId, f64)>,
     pub(crate) total: Option<f64>,
     pub(crate) heard: Option<Millis>,
-    /// What others draw a second, once two totals have told it.
-    pub(crate) others: Option<f64>,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -806,6 +810,7 @@
             out: 0.0,
             units_out: 0.0,
             call: Call::default(),
+            pool: PoolAccount::default(),
             others: Rate::default(),
             seen: now,
             credit: 0.0,
@@ -831,7 +836,9 @@
         // What it was below nothing was under no ceiling, or under another.
         self.ceiling.level = self.ceiling.level.max(0.0).min(fresh.ceiling.level);
         (self.credit, self.quiet_until) = (0.0, 0.0);
-        (self.call.total, self.call.heard, self.call.others) = (None, None, None);
+        (self.call.total, self.call.heard) = (None, None);
+        // What was borrowed or set aside under the old plan is forgotten: nothing of it is used.
+        (self.pool, self.slice.spilled) = (PoolAccount::default(), 0.0);
     }
 }
 
@@ -929,33 +936,16 @@
         adds
     }
 
-    /// Takes in the total after a call: what others drew since the last one, and what they have out. A total
-    /// that is lower by more than `slack` has begun anew and tells nothing of the time before. Two totals tell
-    /// the others' rate, smoothed over `tau` from `guess` on.
-    pub(crate) fn take_in(
-        &mut self,
-        now: Millis,
-        total: f64,
-        [added, out]: [f64; 2],
-        (step, slack): (f64, f64),
-        (guess, tau): (f64, Millis),
-    ) -> (f64, f64) {
+    /// Takes in the total after a call that added `out` attempts, each of which counts `step`: the units in it, and
+    /// the attempts that others have out. A total that lacks attempts that are out here has begun anew.
+    pub(crate) fn take_in(&mut self, now: Millis, total: f64, out: f64, step: f64) -> (f64, f64) {
         let all_out = if step > 0.0 { (total / step + 0.25).floor() } else { 0.0 };
-        let total = total - all_out * step;
-        let before = self.heard.filter(|_| self.total.is_some());
-        let mut news = self.total.map_or(0.0, |old| total - old - added);
-        if news < -slack {
-            news = 0.0;
-            // It lacks what is out here.
+        if step > 0.0 && all_out < self.counted_out {
             self.pending[1] += self.counted_out - out;
             self.counted_out = out;
         }
         (self.total, self.heard) = (Some(total), Some(now));
-        if let Some(gap) = before.map(|at| (now - at).max(1.0)) {
-            let (rate, old) = (1000.0 * news.max(0.0) / gap, self.others.unwrap_or(guess));
-            self.others = Some(old + (rate - old) * (1.0 - (-gap / tau).exp()));
-        }
-        (news, (all_out - self.counted_out).max(0.0))
+        (total - all_out * step, (all_out - self.counted_out).max(0.0))
     }
 
     /// Whether a total is known, of now or, where every try calls, of before.
@@ -963,15 +953,6 @@
         self.total.is_some() && (every || self.heard == Some(now))
     }
 
-    /// What is left of a store that was right at the last total, if others go on as they did; nothing where
-    /// that is not known, or is older than `news`.
-    pub(crate) fn left(&self, now: Millis, store: f64, news: Millis) -> f64 {
-        match (self.heard, self.others) {
-            (Some(at), Some(rate)) if now - at < news => store - rate * (now - at) / 1000.0,
-            _ => 0.0,
-        }
-    }
-
     /// Takes in a total that has nothing to do with the last: what others drew is all but what was added.
     pub(crate) fn take_alone(&mut self, now: Millis, total: f64, [added, _]: [f64; 2]) -> f64 {
         (self.total, self.heard) = (Some(total), Some(now));
