Spread the ticks of ingresses that call the counter, so that they don't call all at once

What callers saw: in a fleet whose ingresses start together (a release, or a power cut), calls to the counter that go out on the regular tick came in one burst every 200 ms.

Cause: the tick's timer was set for exactly 200 ms, from the start on. Seen by the part of tries that call, which fell to half although the counter took in a third of the calls that it can; plans that never lend lost as much as the others. Ruled out: processor time of the tick (a set of lenders in place of a pass over all customers changed nothing). Calls for attempts out had the same fault before.

Change: where the counter tells of the others, a tick comes 100 to 300 ms after the last, by the ingress's own random numbers. Other sources keep their interval.

--- a/src/quota_messages.rs
+++ b/src/quota_messages.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// The time to the next tick. Prevents gateways that started together from calling the counter all at once.
+    pub(crate) fn next_tick(&mut self) -> Millis {
+        let spread = if self.source == Source::Counter { 0.5 + self.rng.unit() } else { 1.0 };
+        self.report_every() * spread
+    }
+
     /// Adds to the customer's number what was drawn here, or borrowed less what was lent where the quota has a pool, and
     /// what is out where that is capped: units below `counter_step`, attempts out in multiples of it.
     pub(crate) fn call(
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -137,7 +137,7 @@
                 if self.set.list_on_request {
                     acts.push(Action::Subscribe);
                 }
-                acts.push(Action::SetTimer(self.report_every(), TICK));
+                acts.push(Action::SetTimer(self.next_tick(), TICK));
             }
             Event::Servers(kind, entries) => self.on_list(now, kind, entries, acts),
             Event::Request(request) => self.on_request(now, request, acts),
@@ -164,7 +164,7 @@
         1000.0 * listeners / (self.set.mail_per_second.max(1.0) * MAIL_SHARE)
     }
 
-    fn report_every(&self) -> Millis {
+    pub(crate) fn report_every(&self) -> Millis {
         self.report_gap().clamp(REPORT[0], REPORT[1])
     }
 
@@ -904,7 +904,7 @@
     }
 
     fn on_tick(&mut self, now: Millis, acts: &mut Acts) {
-        acts.push(Action::SetTimer(self.report_every(), TICK));
+        acts.push(Action::SetTimer(self.next_tick(), TICK));
         if self.source == Source::Peers && !self.homes() {
             acts.extend(self.reports());
         }
