Give programs under test addresses that nothing was bound to before

Cause, suspected: the tests found free ports by listeners that they closed just before, while other tests of the same binary were starting programs; a process that is between its fork and its exec still holds what was open then. Ruled out: a port given to a connection or to another listener in between, since it happened too with a loopback address for each listener (1 run of 9).

Change: own_address() counts up addresses of 127.0.0.0/8 and binds nothing.

--- a/tests/client.rs
+++ b/tests/client.rs
@@ -33,10 +33,8 @@
             .collect();
         let mut fleet =
             Self { at: Vec::new(), doors: Vec::new(), told: Vec::new(), programs: Vec::new(), name };
-        let mut free = Vec::new();
         for i in 0..many {
-            free.extend([listener().await, listener().await]);
-            let [at, door] = [0, 1].map(|n| free[2 * i + n].local_addr().unwrap());
+            let [at, door] = [own_address(), own_address()];
             let mut told = told(agent.at, known.clone());
             told["listen"] = json!(at.to_string());
             told["settings"]["balancers"] = json!(many);
@@ -48,7 +46,6 @@
             fleet.doors.push(door);
             fleet.told.push(told);
         }
-        drop(free);
         for i in 0..many {
             fleet.programs.push(None);
             fleet.run(i).await;
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -19,10 +19,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -47,6 +47,16 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
 
+/// A loopback address that no other test has, for what only a configuration can name. Nothing is bound to find it: a
+/// listener that is closed to make room is still held by a process that another test is just about to start.
+pub fn own_address() -> SocketAddr {
+    static LAST: AtomicU16 = AtomicU16::new(0);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let [number, more] = LAST.fetch_add(1, Ordering::Relaxed).to_le_bytes();
+    (Ipv4Addr::new(127, 128 | high, low, number.max(1)), 7000 + u16::from(more) * 2 + u16::from(number == 0))
+        .into()
+}
+
 pub fn quiet() -> slog::Logger {
     slog::Logger::root(slog::Discard, slog::o!())
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -36,11 +36,7 @@
         let agent = Agent::start().await;
         let entry = |name, server: &RealServer| service_entry(name, server.at, 0, "in_service");
         let mut told = told(agent.at, vec![entry("s1", &servers[0]), entry("s2", &servers[1])]);
-        let mut free = Vec::new();
-        for _ in 0..4 {
-            free.push(listener().await);
-        }
-        let [at, d0, d1, d2] = [0, 1, 2, 3].map(|i| free[i].local_addr().unwrap());
+        let [at, d0, d1, d2] = [0; 4].map(|_| own_address());
         told["listen"] = json!(at.to_string());
         Self { folder, told, at, doors: [d0, d1, d2], servers, _agent: agent }
     }
@@ -117,8 +113,8 @@
         new.child.kill().unwrap();
         new.end().await;
         // A file that is cut is passed over, and said so.
-        let port = site.at.port();
-        let bans = site.folder.join(format!("weldhub-127.0.0.1-{port}.bans"));
+        let (address, port) = (site.at.ip(), site.at.port());
+        let bans = site.folder.join(format!("weldhub-{address}-{port}.bans"));
         let text = std::fs::read_to_string(&bans).unwrap();
         std::fs::write(&bans, &text[..text.len() / 2]).unwrap();
         let env =
