--- a/emulator/tests/scarce_counter.rs
+++ b/emulator/tests/scarce_counter.rs
@@ -19,15 +19,15 @@
 /// Other seeds than those of `fleet.rs`.
 const SEEDS: std::ops::Range<u64> = 40..50;
 
-/// A calm day of 12 s of 24 ingresses without messages between them, on these seeds.
-fn days(spread: [u16; 2], calls_per_second: Option<u32>) -> Vec<Report> {
+/// A calm day of 12 s of so many ingresses without messages between them, on these seeds.
+fn days(ingresses: u16, spread: [u16; 2], calls_per_second: Option<u32>) -> Vec<Report> {
     let counter =
         calls_per_second.map_or(String::new(), |n| format!("[counter]\ncalls_per_second = {n}.0\n"));
     let text = CALM
         .replace(COUNTER, &counter)
         .replace(PEERS, "")
         .replace("length = 30000.0", "length = 12000.0")
-        .replace("count = 3\n", "count = 24\n")
+        .replace("count = 3\n", &format!("count = {ingresses}\n"))
         .replace("spread = [2, 3]", &format!("spread = [{}, {}]", spread[0], spread[1]));
     let script = Script::read(&text).unwrap();
     SEEDS.map(|seed| play(&script, seed).unwrap()).collect()
@@ -38,10 +38,10 @@
 }
 
 /// With a counter, however scarce, no less is served than with none, and hardly more goes beyond quotas.
-fn a_counter_does_no_harm(spread: [u16; 2]) {
-    let none = days(spread, None);
+fn a_counter_does_no_harm(ingresses: u16, spread: [u16; 2]) {
+    let none = days(ingresses, spread, None);
     for calls_per_second in [150, 1500, 6000] {
-        let days = days(spread, Some(calls_per_second));
+        let days = days(ingresses, spread, Some(calls_per_second));
         let case = format!("{spread:?}, {calls_per_second} calls a second");
         for day in &days {
             assert!(day.beyond < 0.1, "{case}: {day}");
@@ -60,30 +60,38 @@
 
 #[test]
 fn it_does_no_harm_where_two_or_three_see_a_customer() {
-    a_counter_does_no_harm([2, 3]);
+    a_counter_does_no_harm(24, [2, 3]);
 }
 
 #[test]
 fn it_does_no_harm_where_four_to_six_see_a_customer() {
-    a_counter_does_no_harm([4, 6]);
+    a_counter_does_no_harm(24, [4, 6]);
 }
 
 #[test]
 fn it_does_no_harm_where_eight_to_twelve_see_a_customer() {
-    a_counter_does_no_harm([8, 12]);
+    a_counter_does_no_harm(24, [8, 12]);
 }
 
 #[test]
 fn it_does_no_harm_where_twelve_to_sixteen_see_a_customer() {
-    a_counter_does_no_harm([12, 16]);
+    a_counter_does_no_harm(24, [12, 16]);
 }
 
 #[test]
 fn it_does_no_harm_where_half_or_more_see_a_customer() {
-    a_counter_does_no_harm([12, 24]);
+    a_counter_does_no_harm(24, [12, 24]);
 }
 
 #[test]
 fn it_does_no_harm_where_all_see_a_customer() {
-    a_counter_does_no_harm([24, 24]);
+    a_counter_does_no_harm(24, [24, 24]);
+}
+
+/// Red: 0.03 to 0.2 of the worth goes beyond quotas. Here a slice holds less than one unit of most bursts, so totals of what all draw
+/// decide, each read by itself. Suspected: totals whose window began anew, and tries that are let in without a call since others
+/// of their plan fit. `KNOWN-RED.txt`.
+#[test]
+fn it_does_no_harm_where_hundreds_see_a_customer() {
+    a_counter_does_no_harm(150, [75, 150]);
 }
