--- a/emulator/tests/scarce_counter.rs
+++ b/emulator/tests/scarce_counter.rs
@@ -88,9 +88,9 @@
     a_counter_does_no_harm(24, [24, 24]);
 }
 
-/// Red: 0.03 to 0.2 of the worth goes beyond quotas. Here a slice holds less than one unit of most bursts, so totals of what all draw
-/// decide, each read by itself. Suspected: totals whose window began anew, and tries that are let in without a call since others
-/// of their plan fit. `KNOWN-RED.txt`.
+/// Red: up to 0.2 of the worth goes beyond quotas. Here a slice holds less than one unit of most bursts, so totals of what all draw
+/// decide, each read by itself. Half a window's refill is let in beside the burst, though the number may just have begun, and some tries
+/// are let in without a call. `KNOWN-RED.txt`; figures in `docs/incidents/2026-12-03-scarce-counter.md`.
 #[test]
 fn it_does_no_harm_where_hundreds_see_a_customer() {
     a_counter_does_no_harm(150, [75, 150]);
