Give the admin interfaces of all tests addresses that nothing was bound to before

It is one of the two that were noted as flaky under load before.

Cause: the ingress of that test ends where its admin interface cannot be bound, and its listener with it, which resets who is just connecting. The address was found as in tests/client.rs: by a listener that was closed just before. For tests/client.rs the log said so.

Change: own_address() in tests/operations.rs, consul.rs, ext_authz.rs, large_fleet.rs, streams.rs and measure.rs, too. No check is changed.

--- a/tests/consul.rs
+++ b/tests/consul.rs
@@ -19,7 +19,7 @@
     let fields = told.as_object_mut().unwrap();
     fields.remove("discovery");
     fields.remove("known");
-    let door = listener().await.local_addr().unwrap();
+    let door = own_address();
     fields.insert("management".into(), door.to_string().into());
     let others: Vec<_> = agents[1..].iter().map(|at| at.to_string()).collect();
     let mut consul = json!({"address": agents[0].to_string(), "others": others, "service": "boards"});
@@ -347,7 +347,7 @@
             consul.set_service("boards", None, listed(&all[..2], passing));
             consul.set_service("records", None, vec![instance("r", all[2].at, 0, "passing")]);
         }
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         let keys = |consul: &Consul, more: &str| format!("address = \"{}\"\n{more}\n", consul.at);
         let mut program =
             Program::start("consul", &file(&keys(&old, "service = \"boards\""), door), &[], false);
@@ -471,7 +471,7 @@
         let mut list = listed(&all, passing);
         list.push(instance("gone", gone, 0, "passing"));
         let consul = Consul::start(list).await;
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         let keys = format!(
             "address = \"{}\"\nservice = \"boards\"\nunreachable_after = 1\ntimeout_ms = 100\n",
             consul.at
--- a/tests/ext_authz.rs
+++ b/tests/ext_authz.rs
@@ -522,7 +522,7 @@
     local(async {
         let authoriser = Authoriser::start(Manner::Answer(allow())).await;
         let consul = Consul::start(vec![instance("a", authoriser.at, 0, "passing")]).await;
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         let said = format!("management = \"{door}\"");
         let at = start(config(&consul, &[("# management = \"127.0.0.1:9901\"", &said)])).await;
         assert_eq!(ask(at, BOARD, 1).await, allow());
@@ -579,7 +579,7 @@
             (0..n).map(|i| instance(&format!("a{i}"), authorisers[i].at, 0, status)).collect()
         };
         let consul = Consul::start(all("passing", 6)).await;
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         let said = format!("management = \"{door}\"");
         let at = start(config(&consul, &[("# management = \"127.0.0.1:9901\"", &said)])).await;
         assert_eq!(ask(at, BOARD, 1).await, allow());
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -89,7 +89,7 @@
         told["settings"]["limits"]["mayTell"] = json!(true);
         told["settings"]["familyInfo"]["mailPerS"] = json!(100.0);
         told["settings"]["tariffs"][0]["storeSize"] = json!(1e6);
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         let env = [("RELAY_MANAGEMENT", door.to_string())];
         let mut program = Program::start("large-fleet", &told.to_string(), &env, false);
         let at = program.serving().await;
--- a/tests/measure.rs
+++ b/tests/measure.rs
@@ -54,7 +54,7 @@
         let mut told = told(agent.at, known);
         told["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
         told["settings"]["tariffs"][0]["storeSize"] = json!(1e6);
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         let env = [("RELAY_MANAGEMENT", door.to_string())];
         let mut program = Program::start("measure", &told.to_string(), &env, false);
         let at = program.serving().await;
@@ -117,7 +117,7 @@
         let folder = std::env::temp_dir().join(format!("weldhub-{}-measure.d", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let start = async |i: usize| {
-            let door = listener().await.local_addr().unwrap();
+            let door = own_address();
             let env = [("RELAY_MANAGEMENT", door.to_string()), ("TMPDIR", folder.display().to_string())];
             let mut program = Program::start(&format!("measure-{i}"), &told.to_string(), &env, false);
             program.serving().await;
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -21,7 +21,7 @@
     let known =
         servers.iter().map(|(name, server)| service_entry(name, server.at, 0, "in_service")).collect();
     let mut told = told(agent.at, known);
-    let door = listener().await.local_addr().unwrap();
+    let door = own_address();
     told["management"] = json!(door.to_string());
     (start(&told).await, door, agent)
 }
@@ -176,7 +176,7 @@
         let agent = Agent::start().await;
         let known = (0..8).map(|i| service_entry(&format!("s{i}"), server.at, 0, "in_service")).collect();
         let mut told = told(agent.at, known);
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         told["management"] = json!(door.to_string());
         told["limits"]["sockets"] = json!(64);
         let ingress = start(&told).await;
@@ -222,7 +222,7 @@
     local(async {
         let (full, agent) = (Full::new().await, Agent::start().await);
         let mut told = told(agent.at, vec![service_entry("s1", full.at(), 0, "in_service")]);
-        let door = listener().await.local_addr().unwrap();
+        let door = own_address();
         told["management"] = json!(door.to_string());
         told["settings"]["limits"]["connectTimeout"] = json!(5000.0);
         let ingress = start(&told).await;
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -238,7 +238,7 @@
                 let at = Streamer::default().start(bytes.clone(), 5000, true).await;
                 let agent = Agent::start().await;
                 let mut told = told(agent.at, vec![service_entry("s1", at, 0, "in_service")]);
-                let door = listener().await.local_addr().unwrap();
+                let door = own_address();
                 told["management"] = json!(door.to_string());
                 let ingress = start(&told).await;
                 let mut client = Client::new(ingress.at).await;
