--- a/src/quota_pool.rs
+++ b/src/quota_pool.rs
@@ -4,7 +4,8 @@
 //! what was borrowed less what was lent, so below zero it tells how much there is to borrow. A unit is lent only after
 //! it has left the slice that it was part of, and used only after the counter has counted it as borrowed. So slices and
 //! pool together hold no more than the quota, however late, seldom or failed the calls are: a call that fails loses
-//! units at the worst.
+//! units at the worst. The exception is a number that begins anew just when units that were asked for in vain are given
+//! back, which are then there twice; they are forgotten after [`PoolTerms::lease`].
 //!
 //! Records and arithmetic; by what it goes, and who borrows, is decided in `src/rules.rs`.
 
--- a/tests/quota_pool.rs
+++ b/tests/quota_pool.rs
@@ -209,3 +209,22 @@
     let again = -fleet.numbers[&CounterName(1)];
     assert!((6.0..=20.0).contains(&again), "{again}");
 }
+
+/// The time to the tick that a limiter asks for at its start.
+fn first_tick(counter: bool, seed: u64) -> Millis {
+    let mut limiter = Limiter::new(Settings { counter, ..settings(quota()) }, seed).unwrap();
+    let mut acts = Vec::new();
+    limiter.handle(1e6, Event::Start, &mut acts);
+    let tick = |act: &Action| if let Action::SetTimer(wait, TimerKey(1)) = act { Some(*wait) } else { None };
+    acts.iter().find_map(tick).unwrap()
+}
+
+#[test]
+fn ticks_of_gateways_that_call_the_counter_are_spread() {
+    let ticks: Vec<Millis> = (1..=100).map(|seed| first_tick(true, seed)).collect();
+    assert!(ticks.iter().all(|tick| (100.0..=300.0).contains(tick)), "{ticks:?}");
+    // Of a hundred that start together no more than a quarter call within any 20 ms.
+    let together = |at: Millis| ticks.iter().filter(|tick| (at..at + 20.0).contains(*tick)).count();
+    assert!(ticks.iter().all(|tick| together(*tick) <= 25), "{ticks:?}");
+    assert!((1..=100).all(|seed| first_tick(false, seed) == 200.0));
+}
