--- a/src/quota_messages.rs
+++ b/src/quota_messages.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::*;
 use crate::mail::Mail;
+use crate::quota_pool::has_pool;
 use crate::rules::{ASK_WAIT, FEW, WEIGHT, sparse};
 use crate::state::*;
 
@@ -101,8 +102,7 @@
     ) {
         if customer.call.waiting.is_none() {
             let ([drawn, out], step) = (customer.call.begin(now), counter_step(plan, customer.spread));
-            let pooled = plan.rate > 0.0 && !sparse(plan, customer.spread);
-            let units = if pooled { customer.pool.begin(now) } else { drawn };
+            let units = if has_pool(plan, customer.spread) { customer.pool.begin(now) } else { drawn };
             let keep = counter_keep(plan, customer.spread);
             acts.push(Action::Count(CounterName(id.0), units + out * step, keep));
         }
--- a/src/quota_pool.rs
+++ b/src/quota_pool.rs
@@ -9,11 +9,16 @@
 //!
 //! Records and arithmetic; by what it goes, and who borrows, is decided in `src/rules.rs`.
 
-use crate::interface::{Action, CustomerId, Millis, PlanId};
+use crate::interface::{Action, CustomerId, Millis, Plan, PlanId};
 use crate::rules::{POOL, sparse};
 use crate::state::{Customer, Limiter, Source};
 use serde::{Deserialize, Serialize};
 
+/// Whether the counter keeps a pool of a quota that so many ingresses share.
+pub(crate) fn has_pool(plan: &Plan, spread: u16) -> bool {
+    plan.rate > 0.0 && !sparse(plan, spread)
+}
+
 /// What the accounts of a pool go by.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PoolTerms {
@@ -174,7 +179,7 @@
     /// Whether a customer's unused units are pooled at the counter.
     pub(crate) fn pooled(&self, plan: PlanId, spread: u16) -> bool {
         let (plan, spread) = (self.plan(plan), spread.min(self.set.gateways));
-        self.source == Source::Counter && spread > 1 && plan.rate > 0.0 && !sparse(&plan, spread)
+        self.source == Source::Counter && spread > 1 && has_pool(&plan, spread)
     }
 
     /// Lends what is not needed here. Prevents units from lying idle at ingresses that see little of a customer while
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 use crate::interface::*;
 use crate::mail::{Ask, Mail, lines};
 use crate::quota_messages::{counter_keep, counter_step};
-use crate::quota_pool::PoolTerms;
+use crate::quota_pool::{PoolTerms, has_pool};
 use crate::state::*;
 use crate::window::{Bucket, poisson_below};
 use std::collections::BTreeSet;
@@ -695,7 +695,7 @@
         let stands_for = if single { 1.0 + likely * (1.0 - part) / part } else { 0.0 };
         customer.call.held.push((request.id, request.units * stands_for.min(1.0)));
         customer.call.set_aside(request.units * stands_for, 1.0);
-        if !single && plan.rate > 0.0 && customer.call.waiting.is_none() {
+        if has_pool(&plan, customer.spread) && customer.call.waiting.is_none() {
             // The pool goes first while calls are many: what stays in the slice is there when they are few.
             customer.pool.borrow(if own { request.units } else { request.units - customer.pooled_units() });
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,8 +197,7 @@
         for customer in old.customers.values_mut() {
             customer.call.held.clear();
             if customer.call.waiting.take().is_some() {
-                customer.call.total = None;
-                customer.pool.unknown();
+                customer.call_unknown();
             }
         }
         old.requests.retain(|_, open| open.attempts.iter().any(|a| a.out));
