--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -142,11 +142,13 @@
 class Backend:
     """A backend of PROTOCOL, 'Ingresses to backends', in this process. Serves each request after `work` seconds."""
 
-    def __init__(self, name, record, work=0.05):
+    def __init__(self, name, record, work=0.05, receive_buffer=None):
         self.name, self.record, self.work = name, record, work
         self.requests = []
         self.lock = threading.Lock()
         self.listener = socket.create_server((HOST, 0), backlog=256)
+        if receive_buffer:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.address = "%s:%d" % self.listener.getsockname()
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -157,6 +159,9 @@
         """Called when the last byte of a request has come: from here on it runs."""
         self.record(f"backend {self.name} runs {request_id} ({length} bytes of body)")
 
+    def broke(self, stream):
+        """Called before a connection is closed that has failed."""
+
     def entry(self, lifecycle="in_service", cell=0):
         return entry(self.name, self.address, lifecycle, cell)
 
@@ -196,7 +201,7 @@
                     b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nServer-Load: inflight=1,queue=0\r\n\r\n"
                     % len(answer) + answer)
         except OSError:
-            pass
+            self.broke(stream)
         finally:
             stream.close()
 
