Have the review's scripts say that they could not run where they are ended

Cause: an import that fails, or a script that is ended early, left exit code 1, which stands for a broken rule.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -24,6 +24,7 @@
 HOST = "127.0.0.1"
 # A case ends by itself after this many seconds, and could not run then.
 LONGEST = 110.0
+LIBC = ctypes.CDLL(None)
 
 
 class CannotRun(Exception):
@@ -354,7 +355,7 @@
 
 def die_with_parent():
     """Has the system kill a started process if the script itself is killed (PR_SET_PDEATHSIG)."""
-    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+    LIBC.prctl(1, signal.SIGKILL)
 
 
 class Rig:
@@ -392,21 +393,27 @@
 
 def play(case_file, case):
     """Plays a case: `case(rig)` returns whether the rule held. Exits with 0, 1 or 2."""
-    rig = Rig(os.path.dirname(os.path.abspath(case_file)))
+    try:
+        rig = Rig(os.path.dirname(os.path.abspath(case_file)))
+    except Exception as e:  # noqa: BLE001 - whatever went wrong, the case could not run
+        print(f"cannot run: {type(e).__name__}: {e}")
+        sys.exit(2)
 
-    def give_up():
-        rig.record(f"cannot run: not done after {LONGEST} s")
+    def give_up(why):
+        rig.record(f"cannot run: {why}")
         rig.close()
         os._exit(2)
 
-    watchdog = threading.Timer(LONGEST, give_up)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, _: give_up(signal.Signals(number).name))
+    watchdog = threading.Timer(LONGEST, give_up, [f"not done after {LONGEST} s"])
     watchdog.daemon = True
     watchdog.start()
     try:
         held = case(rig)
         rig.record("the rule held" if held else "the rule was broken")
         code = 0 if held else 1
-    except Exception as e:  # noqa: BLE001 - whatever went wrong, the case could not run
+    except Exception as e:  # noqa: BLE001 - as above
         rig.record(f"cannot run: {type(e).__name__}: {e}")
         code = 2
     finally:
