--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -207,6 +207,59 @@
             stream.close()
 
 
+class Recorder:
+    """A proxy between clients and one ingress. It passes all on at once and unchanged, and writes down what it sees."""
+
+    def __init__(self, name, ingress, on_answer):
+        self.name, self.ingress, self.on_answer = name, ingress, on_answer
+        self.listener = socket.create_server((HOST, 0), backlog=256)
+        self.address = "%s:%d" % self.listener.getsockname()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            client, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(client,), daemon=True).start()
+
+    def serve(self, client):
+        """Clients send one request at a time on a connection, and the program's answers here all have a length."""
+        ingress = None
+        try:
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            ingress = connect(self.ingress)
+            ingress.settimeout(None)
+            while (message := self.message(client)) is not None:
+                _, fields = fields_of(message.split(b"\r\n\r\n", 1)[0])
+                sent = time.monotonic()
+                ingress.sendall(message)
+                answer = self.message(ingress)
+                status = int(answer.split(b" ", 2)[1]) if answer else None
+                self.on_answer(self.name, sent, fields, status)
+                if answer is None:
+                    return
+                client.sendall(answer)
+        except OSError:
+            pass
+        finally:
+            client.close()
+            if ingress:
+                ingress.close()
+
+    @staticmethod
+    def message(stream):
+        got = read_head(stream)
+        if got is None:
+            return None
+        head, body = got
+        length = int(fields_of(head)[1].get("content-length", "0"))
+        while len(body) < length:
+            more = stream.recv(65536)
+            if not more:
+                return None
+            body += more
+        return head + b"\r\n\r\n" + body
+
+
 def entry(name, address, lifecycle="in_service", cell=0):
     return {"instanceId": name, "hostPort": address, "zone": "north-hall", "machineType": "gen-a", "cell": cell,
             "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
