Answer a long body whose backend hangs on the way

Cause: callers with a body of more than 64 KiB got no answer, and no end of their connection, where the backend hung in the middle of the body. A request's deadlines start with its last byte; the ingress reads no further than it can write, and wrote to the backend without a limit, so it never read that byte. The same gap on related paths: an answer that begins before the body's end was read without a limit, and behind it neither the body's last byte nor the client's leaving was seen. Change: a backend that accepts no byte of a body for the client's timeout has failed, and its connection is reset. An answer that begins early has the same time. Once an attempt reads no more of a body, the rest is read and dropped, so the deadlines start with its last byte. Why it works: each wait of an upload now has an end that does not depend on the last byte: for the client's bytes the least rate (408), for the backend's reading and its early answer the timeout, and after the attempt's end the engine's deadline.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -610,7 +610,7 @@
         let deadline = self.deadlines.add(self.now + timeout, Expiry::Attempt(id, index));
         request.in_flight.push(Attempt { index, backend, sent_at: self.now, answered_at: None, deadline });
         let question = request.question.clone();
-        let timeout = request.timeout_after_body.unwrap_or(timeout);
+        let timeout = request.timeout_after_body.map_or(timeout, |time_left| time_limits(time_left)[0]);
         if request.timeout_after_body.is_some() {
             // The backend does no work for the request before the body is complete.
             self.follow_ups.push_back(Event::StreamStarted(id, index));
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -169,7 +169,8 @@
         backend: BackendId,
         /// The question to send.
         question: Q,
-        /// How long the engine waits for the answer, in milliseconds.
+        /// How long the engine waits for the answer, in milliseconds. If the body is still being received, the
+        /// engine waits from its last byte, and until then the backend may stall for this long.
         timeout: Millis,
         /// The time, in Unix milliseconds, by which the question must be written completely, or else is not
         /// sent at all; `None` for no limit.
--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -32,7 +32,8 @@
     pub id: AttemptId,
     /// The request to send to the backend.
     pub question: Q,
-    /// How long the engine waits for the answer, in milliseconds.
+    /// How long the engine waits for the answer, in milliseconds. While the body is still being received, the
+    /// engine does not wait yet, and the front ends an attempt whose backend stalls for this long.
     pub timeout: Millis,
     /// The time by which the whole request must have been written, or else it must never be. `None` if there
     /// is no such bound.
--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -20,11 +20,13 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
+use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -363,18 +365,11 @@
         address: SocketAddr,
         job: &CarriedJob<'_>,
     ) -> CarryResult {
-        let mut answered_early = false;
         match self.write_request(stream, buffer, address, job).await {
-            Ok(WriteProgress::Complete) => {}
-            Ok(WriteProgress::AnsweredEarly) => answered_early = true,
-            Err(outcome) => return failed(outcome),
+            Ok(WriteProgress::Complete) => self.read_answer(stream, buffer, job, false).await,
+            Ok(WriteProgress::AnsweredEarly) => self.read_early_answer(stream, buffer, job).await,
+            Err(outcome) => failed(outcome),
         }
-        let (result, reusable) = self.read_answer(stream, buffer, job.id, job.question).await;
-        if answered_early && result.outcome == Outcome::Served {
-            // A success cannot be the answer to a request that had not arrived completely.
-            return failed(Outcome::Error);
-        }
-        (result, reusable && !answered_early)
     }
 
     /// Writes a request to its last byte, unless the backend answers before.
@@ -390,70 +385,63 @@
             Some(once) => Some(once.take().ok_or(Outcome::NotSent)?),
             None => None,
         };
-        let timeout = timeout.max(1.0) as u64;
-        let fields = format!("Host: {address}\r\nRequest-Timeout-Ms: {timeout}\r\n\r\n");
-        let chunked = rest.is_some() && question.content_length.is_none();
-        let mut bytes =
-            BytesMut::with_capacity(question.head.len() + fields.len() + question.body.len() + 16);
-        bytes.extend_from_slice(&question.head);
-        bytes.extend_from_slice(fields.as_bytes());
-        append_body(&mut bytes, &question.body, chunked);
+        let bytes = first_bytes(question, address, *timeout);
         // Prevents a retry from running too late after a wait for its connection, or for the backend to read.
         let time_left = send_by.map(|send_by| send_by - self.deadlines.clock().now());
         if time_left.is_some_and(|time_left| time_left <= 0.0) {
             return Err(Outcome::ConnectFailed);
         }
         stage.set(Stage::Writing);
-        let written = match time_left {
-            Some(time_left) => self.deadlines.within(time_left, stream.write_all(&bytes)).await,
-            None => Some(stream.write_all(&bytes).await),
+        let progress = match rest {
+            Some(rest) => {
+                let mut upload = UploadWriter::new(self, stream, buffer, *timeout);
+                upload.write_request(&bytes, time_left, question, rest).await?
+            }
+            None => match self.within_limit(time_left, stream.write_all(&bytes)).await {
+                Some(Ok(())) => WriteProgress::Complete,
+                _ => return Err(Outcome::ConnectFailed),
+            },
         };
-        drop(bytes);
-        if !matches!(written, Some(Ok(()))) {
-            return Err(Outcome::ConnectFailed);
+        if progress != WriteProgress::AnsweredEarly {
+            stage.set(Stage::Written);
+            self.stats.attempt_written();
         }
-        if let Some(mut rest) = rest {
-            let mut missing =
-                question.content_length.map(|length| length.saturating_sub(question.body.len()));
-            // The request may run once its last byte is written, even before `BodyPiece::End` marks that byte
-            // as the last.
-            while missing != Some(0) {
-                let piece = tokio::select! {
-                    biased;
-                    piece = rest.recv() => piece,
-                    more = read_more(stream, buffer) => match more {
-                        Ok(true) => return Ok(WriteProgress::AnsweredEarly),
-                        _ => return Err(Outcome::ConnectFailed),
-                    },
-                };
-                let mut bytes = BytesMut::new();
-                match &piece {
-                    Some(BodyPiece::Data(data)) => {
-                        append_body(&mut bytes, data, chunked);
-                        missing = missing.map(|missing| missing.saturating_sub(data.len()));
-                    }
-                    Some(BodyPiece::End) => {
-                        bytes.extend_from_slice(if chunked { b"0\r\n\r\n" } else { b"" });
-                        missing = Some(0);
-                    }
-                    // The client broke its request off.
-                    None => return Err(Outcome::ConnectFailed),
-                }
-                stream.write_all(&bytes).await.map_err(|_| Outcome::ConnectFailed)?;
-            }
+        Ok(progress)
+    }
+
+    /// Awaits a future for at most `limit` milliseconds, if there is a limit. Returns `None` if it takes longer.
+    async fn within_limit<F: Future>(&self, limit: Option<Millis>, future: F) -> Option<F::Output> {
+        match limit {
+            Some(limit) => self.deadlines.within(limit, future).await,
+            None => Some(future.await),
         }
-        stage.set(Stage::Written);
-        self.stats.attempt_written();
-        Ok(WriteProgress::Complete)
     }
 
-    /// Reads an answer: a short one completely, while a long one is passed on as it comes.
+    /// Reads an answer that began before the request was written completely. It cannot be a success. The
+    /// engine's deadlines start with the last byte of the body, which such a request may never reach, so the
+    /// time is limited here.
+    async fn read_early_answer(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        job: &CarriedJob<'_>,
+    ) -> CarryResult {
+        let answer = self.read_answer(stream, buffer, job, true);
+        match self.deadlines.within(job.timeout, answer).await {
+            Some((result, _)) => (result, false),
+            None if job.stage.get() == Stage::Written => failed(Outcome::TimedOut),
+            None => failed(Outcome::ConnectFailed),
+        }
+    }
+
+    /// Reads an answer: a short one completely, while a long one is passed on as it comes. `began_early` is
+    /// whether its first byte arrived before the request was written completely.
     async fn read_answer(
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        id: AttemptId,
-        question: &Question,
+        CarriedJob { id, question, .. }: &CarriedJob<'_>,
+        began_early: bool,
     ) -> CarryResult {
         let (mut held, mut interim_bytes) = (self.budget.reserve(), 0);
         let head = loop {
@@ -482,6 +470,10 @@
                 _ => return failed(Outcome::Reset),
             }
         };
+        if began_early && head.status() == 200 {
+            // A success cannot be the answer to a request that had not arrived completely.
+            return failed(Outcome::Error);
+        }
         let mut body = if question.expects_no_body { BodyDecoder::empty() } else { BodyDecoder::new(&head) };
         let (mut taken, long) =
             (BytesMut::new(), head.body_length().is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES));
@@ -508,7 +500,7 @@
                     return failed(Outcome::Error);
                 }
                 drop(held);
-                return self.stream_answer(stream, buffer, id, &head, body, taken.freeze()).await;
+                return self.stream_answer(stream, buffer, *id, &head, body, taken.freeze()).await;
             }
             let more = tokio::select! {
                 more = read_more(stream, buffer) => more,
@@ -579,13 +571,159 @@
 }
 
 /// How far a request was written when its answer is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WriteProgress {
-    /// To its last byte.
+    /// To its last byte, before any byte of the answer arrived.
     Complete,
-    /// Only a part: the backend sent data before the rest of the body was written.
+    /// Only a part: the backend sent data before the rest was written.
     AnsweredEarly,
 }
 
+/// Writes a request whose body is passed on as it comes, and reads what the backend sends meanwhile.
+struct UploadWriter<'a> {
+    side: &'a Inner,
+    stream: &'a mut TcpStream,
+    /// What the backend has sent.
+    buffer: &'a mut BytesMut,
+    /// How long the backend may accept no bytes, in milliseconds.
+    stall_timeout: Millis,
+    /// Whether a write has begun and not been completed.
+    is_writing: bool,
+}
+
+impl Drop for UploadWriter<'_> {
+    fn drop(&mut self) {
+        if self.is_writing {
+            // A backend that hangs would not see a mere close behind the bytes that it does not read, and the
+            // system would keep them.
+            let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+impl<'a> UploadWriter<'a> {
+    fn new(
+        side: &'a Inner,
+        stream: &'a mut TcpStream,
+        buffer: &'a mut BytesMut,
+        stall_timeout: Millis,
+    ) -> Self {
+        Self { side, stream, buffer, stall_timeout, is_writing: false }
+    }
+
+    /// Writes a request: `first_bytes` within `time_left` milliseconds, if there is such a limit, and the rest
+    /// of its body as it comes. Stops once the backend answers.
+    async fn write_request(
+        &mut self,
+        first_bytes: &[u8],
+        time_left: Option<Millis>,
+        question: &Question,
+        rest: BodyReceiver,
+    ) -> Result<WriteProgress, Outcome> {
+        let side = self.side;
+        let first_written = side.within_limit(time_left, self.write(first_bytes)).await;
+        if first_written.unwrap_or(Err(Outcome::ConnectFailed))? == WriteProgress::AnsweredEarly {
+            return Ok(WriteProgress::AnsweredEarly);
+        }
+        self.write_rest(question, rest).await
+    }
+
+    /// Writes the rest of the body as it comes. Stops once the backend answers.
+    async fn write_rest(
+        &mut self,
+        question: &Question,
+        mut rest: BodyReceiver,
+    ) -> Result<WriteProgress, Outcome> {
+        let chunked = question.content_length.is_none();
+        let mut missing = question.content_length.map(|length| length.saturating_sub(question.body.len()));
+        // The request may run once its last byte is written, even before `BodyPiece::End` marks that byte as
+        // the last.
+        while missing != Some(0) {
+            let piece = tokio::select! {
+                biased;
+                piece = rest.recv() => piece,
+                more = read_more(self.stream, self.buffer) => {
+                    if self.received(more)? == WriteProgress::AnsweredEarly {
+                        return Ok(WriteProgress::AnsweredEarly);
+                    }
+                    continue;
+                }
+            };
+            let mut bytes = BytesMut::new();
+            match &piece {
+                Some(BodyPiece::Data(data)) => {
+                    append_body(&mut bytes, data, chunked);
+                    missing = missing.map(|missing| missing.saturating_sub(data.len()));
+                }
+                Some(BodyPiece::End) => {
+                    bytes.extend_from_slice(if chunked { b"0\r\n\r\n" } else { b"" });
+                    missing = Some(0);
+                }
+                // The client broke its request off.
+                None => return Err(Outcome::ConnectFailed),
+            }
+            if self.write(&bytes).await? == WriteProgress::AnsweredEarly {
+                return Ok(WriteProgress::AnsweredEarly);
+            }
+        }
+        Ok(WriteProgress::Complete)
+    }
+
+    /// Writes these bytes. Stops once the backend answers, and fails if it accepts no bytes for the stall
+    /// timeout: the engine's deadlines do not run before the last byte of the body.
+    async fn write(&mut self, mut bytes: &[u8]) -> Result<WriteProgress, Outcome> {
+        self.is_writing = true;
+        let mut stalled = self.side.deadlines.sleep(self.stall_timeout);
+        while !bytes.is_empty() {
+            let (mut reader, mut writer) = self.stream.split();
+            let more = tokio::select! {
+                biased;
+                more = read_more(&mut reader, self.buffer) => more,
+                written = writer.write(bytes) => match written {
+                    Ok(n) if n > 0 => {
+                        bytes = &bytes[n..];
+                        stalled = self.side.deadlines.sleep(self.stall_timeout);
+                        continue;
+                    }
+                    _ => return Err(Outcome::ConnectFailed),
+                },
+                () = &mut stalled => {
+                    debug!(self.side.log, "a real server accepts no more of a body";
+                        "real_server" => self.stream.peer_addr().ok().map(|address| address.to_string()),
+                        "ms" => self.stall_timeout);
+                    return Err(Outcome::ConnectFailed);
+                }
+            };
+            if self.received(more)? == WriteProgress::AnsweredEarly {
+                return Ok(WriteProgress::AnsweredEarly);
+            }
+        }
+        self.is_writing = false;
+        Ok(WriteProgress::Complete)
+    }
+
+    /// Handles a read from the backend: whatever it sends, it does not want the rest of the request.
+    fn received(&mut self, more: io::Result<bool>) -> Result<WriteProgress, Outcome> {
+        match more {
+            Ok(true) => Ok(WriteProgress::AnsweredEarly),
+            _ => Err(Outcome::ConnectFailed),
+        }
+    }
+}
+
+/// Returns the head of a request, with the fields that each attempt has for itself, and the first part of its
+/// body. `timeout` is what the backend is told, in milliseconds.
+fn first_bytes(question: &Question, address: SocketAddr, timeout: Millis) -> BytesMut {
+    let timeout = timeout.max(1.0) as u64;
+    let fields = format!("Host: {address}\r\nRequest-Timeout-Ms: {timeout}\r\n\r\n");
+    let chunked = question.rest.is_some() && question.content_length.is_none();
+    let mut bytes = BytesMut::with_capacity(question.head.len() + fields.len() + question.body.len() + 16);
+    bytes.extend_from_slice(&question.head);
+    bytes.extend_from_slice(fields.as_bytes());
+    append_body(&mut bytes, &question.body, chunked);
+    bytes
+}
+
 /// Appends data of a body, as a chunk of its own if the body is chunked. Empty data adds no chunk, since an
 /// empty chunk would end the body.
 fn append_body(bytes: &mut BytesMut, data: &[u8], chunked: bool) {
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -812,8 +812,8 @@
             - self.shared.deadlines.clock().now()
     }
 
-    /// Forwards the rest of a request's body to its attempt, until it is complete. `read` is the number of
-    /// body bytes received so far.
+    /// Forwards the rest of a request's body to its attempt, until it is complete. If the attempt receives no
+    /// more, the rest is discarded. `read` is the number of body bytes received so far.
     async fn forward_body(
         &self,
         stream: &mut TcpStream,
@@ -824,6 +824,7 @@
     ) -> UploadResult {
         let mut started = self.shared.deadlines.clock().now();
         let mut upload = Upload { pieces, sent: 0 };
+        let mut receiver_closed = false;
         loop {
             let piece = match body.take(buffer, MAX_PIECE_BYTES) {
                 Ok(Some(data)) => Some(BodyPiece::Data(data)),
@@ -833,6 +834,14 @@
             };
             if let Some(piece) = piece {
                 let (before, is_end) = (self.shared.deadlines.clock().now(), piece == BodyPiece::End);
+                // The rest is read all the same: the request's deadlines start with its last byte, and the end
+                // of the client's stream is only seen behind what it sent.
+                if receiver_closed {
+                    match is_end {
+                        true => return UploadResult::Complete,
+                        false => continue,
+                    }
+                }
                 match self
                     .send_piece(stream, buffer, reservation, (&mut upload, piece, body.is_done()), read)
                     .await
@@ -842,8 +851,7 @@
                     SendResult::Sent | SendResult::ReceiverClosed if is_end => return UploadResult::Complete,
                     SendResult::Sent => {}
                     SendResult::ClientLeft => return UploadResult::ClientLeft,
-                    // The final answer of the request decides what follows.
-                    SendResult::ReceiverClosed => return std::future::pending().await,
+                    SendResult::ReceiverClosed => receiver_closed = true,
                 }
                 // The time for which the backend did not read is not counted against the client.
                 started += self.shared.deadlines.clock().now() - before;
