Go on with a long body after an interim response of its backend

Cause: any byte that a backend sent while a body of more than 64 KiB was on its way counted as the beginning of its final answer. Change: what comes during the body is parsed; whole interim responses are removed and the body goes on, as it does while a head is incomplete. A final head ends the body as before, and a success that began before the last byte is still refused. Why it works: only a whole final head says that the rest of the body is not wanted.

--- a/src/net/client_side.rs
+++ b/src/net/client_side.rs
@@ -367,7 +367,7 @@
     ) -> CarryResult {
         match self.write_request(stream, buffer, address, job).await {
             Ok(WriteProgress::Complete) => self.read_answer(stream, buffer, job, false).await,
-            Ok(WriteProgress::AnsweredEarly) => self.read_early_answer(stream, buffer, job).await,
+            Ok(_) => self.read_early_answer(stream, buffer, job).await,
             Err(outcome) => failed(outcome),
         }
     }
@@ -446,9 +446,7 @@
         let (mut held, mut interim_bytes) = (self.budget.reserve(), 0);
         let head = loop {
             match peek_head(buffer, MessageKind::Response) {
-                // Interim responses are skipped. 101 is not one of them: no request asks for a change of
-                // protocol.
-                Ok(Some((head, length))) if matches!(head.status(), 100 | 102..200) => {
+                Ok(Some((head, length))) if is_interim(&head) => {
                     drop(buffer.split_to(length));
                     interim_bytes += length;
                     continue;
@@ -575,7 +573,9 @@
 enum WriteProgress {
     /// To its last byte, before any byte of the answer arrived.
     Complete,
-    /// Only a part: the backend sent data before the rest was written.
+    /// To its last byte, after a part of the answer's head had arrived.
+    CompleteAfterAnswerBegan,
+    /// Only a part: the answer began before the rest was written.
     AnsweredEarly,
 }
 
@@ -583,10 +583,12 @@
 struct UploadWriter<'a> {
     side: &'a Inner,
     stream: &'a mut TcpStream,
-    /// What the backend has sent.
+    /// What the backend has sent: at most a part of a head, once interim responses are removed.
     buffer: &'a mut BytesMut,
     /// How long the backend may accept no bytes, in milliseconds.
     stall_timeout: Millis,
+    /// The bytes of the interim responses that have been removed.
+    interim_bytes: usize,
     /// Whether a write has begun and not been completed.
     is_writing: bool,
 }
@@ -608,7 +610,7 @@
         buffer: &'a mut BytesMut,
         stall_timeout: Millis,
     ) -> Self {
-        Self { side, stream, buffer, stall_timeout, is_writing: false }
+        Self { side, stream, buffer, stall_timeout, interim_bytes: 0, is_writing: false }
     }
 
     /// Writes a request: `first_bytes` within `time_left` milliseconds, if there is such a limit, and the rest
@@ -625,7 +627,9 @@
         if first_written.unwrap_or(Err(Outcome::ConnectFailed))? == WriteProgress::AnsweredEarly {
             return Ok(WriteProgress::AnsweredEarly);
         }
-        self.write_rest(question, rest).await
+        let progress = self.write_rest(question, rest).await?;
+        let answer_begun = progress == WriteProgress::Complete && !self.buffer.is_empty();
+        Ok(if answer_begun { WriteProgress::CompleteAfterAnswerBegan } else { progress })
     }
 
     /// Writes the rest of the body as it comes. Stops once the backend answers.
@@ -702,15 +706,33 @@
         Ok(WriteProgress::Complete)
     }
 
-    /// Handles a read from the backend: whatever it sends, it does not want the rest of the request.
+    /// Handles a read from the backend: removes interim responses, and returns whether the final answer has
+    /// begun, so that the rest of the request is not wanted. A part of a head may still become either.
     fn received(&mut self, more: io::Result<bool>) -> Result<WriteProgress, Outcome> {
-        match more {
-            Ok(true) => Ok(WriteProgress::AnsweredEarly),
-            _ => Err(Outcome::ConnectFailed),
+        if !more.unwrap_or(false) {
+            return Err(Outcome::ConnectFailed);
+        }
+        loop {
+            match peek_head(self.buffer, MessageKind::Response) {
+                Ok(Some((head, length)))
+                    if is_interim(&head) && self.interim_bytes <= MAX_BUFFERED_MESSAGE_BYTES =>
+                {
+                    drop(self.buffer.split_to(length));
+                    self.interim_bytes += length;
+                }
+                Ok(None) => return Ok(WriteProgress::Complete),
+                Ok(Some(_)) | Err(_) => return Ok(WriteProgress::AnsweredEarly),
+            }
         }
     }
 }
 
+/// Returns whether a response is an interim one, which a final response follows. 101 is not: no request asks
+/// for a change of protocol.
+fn is_interim(head: &Head) -> bool {
+    matches!(head.status(), 100 | 102..200)
+}
+
 /// Returns the head of a request, with the fields that each attempt has for itself, and the first part of its
 /// body. `timeout` is what the backend is told, in milliseconds.
 fn first_bytes(question: &Question, address: SocketAddr, timeout: Millis) -> BytesMut {
--- a/tests/stalled_uploads.rs
+++ b/tests/stalled_uploads.rs
@@ -35,6 +35,8 @@
 enum Behavior {
     /// It writes these bytes, reads nothing more and stays open.
     Stop(&'static str),
+    /// It writes these bytes, reads the body and answers 200.
+    Read(&'static str),
     /// It reads the body, with a pause after every [`PAUSE_EVERY_BYTES`] of the first half, and answers 200.
     Pause,
 }
@@ -110,6 +112,7 @@
             }
             return;
         }
+        Behavior::Read(text) => stream.write_all(text.as_bytes()).await.unwrap(),
         Behavior::Pause => {}
     }
     let length = head.body_length().unwrap();
@@ -201,6 +204,21 @@
     });
 }
 
+/// Guards against an upload that an interim response ends: the body goes on, and the final answer is served.
+#[test]
+fn interim_response_does_not_end_a_long_body() {
+    local(async {
+        for text in [
+            "HTTP/1.1 100 Continue\r\n\r\n",
+            "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
+        ] {
+            let backend = StalledBackend::start(Behavior::Read(text)).await;
+            let (ingress, ..) = backend.ingress().await;
+            assert_eq!(ask_long(&ingress, BODY_BYTES, false).await.unwrap().0, 200, "{text:?}");
+        }
+    });
+}
+
 /// Guards against a request that outlives its client: the backend has begun an answer in the middle of the body and
 /// hangs, then the client leaves.
 #[test]
