Answer a body that ends during the drain before the process ends

Cause: callers whose body of more than 64 KiB was on its way at SIGTERM, and ended during the drain, got no answer although a backend ran the request: the ingress ended and closed the connection. All is to be answered before a process ends because the time of each request is bounded as its head is read; but the time of a body that passes in pieces runs from its last byte, so that bound came to nothing. A body that had not come whole by the end was cut off without a word. Change: the server side bounds the time with the last byte of a body. The stand-in for backends of long bodies is shared by two test files now. Why it works: every request that has a last byte has a deadline before the end, wherever in the drain that byte comes, and one that has none is answered.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -272,7 +272,7 @@
                     indexes.for_each(|index| self.command(ClientSideCommand::Withdraw(id, index)));
                 }
             }
-            EngineEvent::BodyReceived(id) => self.body_received(id),
+            EngineEvent::BodyReceived(id, max_time) => self.body_received(id, max_time),
             EngineEvent::AnswerStarted(id, index, answer) => self.answer_started((id, index), answer),
             EngineEvent::AttemptEnded(report) => self.attempt_ended(report),
             EngineEvent::BackendList(list) => {
@@ -464,12 +464,12 @@
         Some(client)
     }
 
-    /// Starts a request's deadlines, as its body is complete.
-    fn body_received(&mut self, id: RequestId) {
+    /// Starts a request's deadlines, as its body is complete. None is later than `max_time` milliseconds from
+    /// now.
+    fn body_received(&mut self, id: RequestId, max_time: Millis) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some([attempts_time, answer_time]) = request.timeout_after_body.take().map(time_limits) else {
-            return;
-        };
+        let Some(time_left) = request.timeout_after_body.take() else { return };
+        let [attempts_time, answer_time] = time_limits(time_left.min(max_time));
         self.deadlines.remove(request.answer_deadline);
         request.answer_deadline = self.deadlines.add(self.now + answer_time, Expiry::Request(id));
         request.attempts_end = self.now + attempts_time;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -87,8 +87,9 @@
     RequestArrived(RequestId, RequestInfo, Q, oneshot::Sender<FinalAnswer<A>>),
     /// The client of a request has left without waiting for the answer.
     ClientLeft(RequestId),
-    /// The last byte of a request's body has been received.
-    BodyReceived(RequestId),
+    /// The last byte of a request's body has been received. Its final answer is due within this time, in
+    /// milliseconds, or within the timeout of its client if that is shorter.
+    BodyReceived(RequestId, Millis),
     /// The answer of an attempt has begun to arrive. It is the request's final answer, however the attempt
     /// ends.
     AnswerStarted(RequestId, AttemptIndex, A),
@@ -247,9 +248,10 @@
 }
 
 impl<Q, A> PendingAnswer<Q, A> {
-    /// Reports that the last byte of the request's body has been received.
-    pub fn body_received(&self) {
-        self.exchange.send(EngineEvent::BodyReceived(self.id));
+    /// Reports that the last byte of the request's body has been received. The client is answered after at
+    /// most `max_time` milliseconds, however long it would wait.
+    pub fn body_received(&self, max_time: Millis) {
+        self.exchange.send(EngineEvent::BodyReceived(self.id, max_time));
     }
 }
 
--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -170,7 +170,7 @@
     /// A buffer for bytes that are discarded.
     scratch: RefCell<Vec<u8>>,
     /// While this process drains, the time by which every request must be answered. Infinite before that.
-    drain_deadline: Cell<Millis>,
+    drain_deadline: watch::Sender<Millis>,
     log: Logger,
 }
 
@@ -242,7 +242,7 @@
                 handover,
                 open_ids,
                 scratch,
-                drain_deadline: Cell::new(f64::INFINITY),
+                drain_deadline: watch::Sender::new(f64::INFINITY),
                 log,
             }),
         }
@@ -296,7 +296,8 @@
                 _ = phase.wait_for(|phase| *phase == Phase::Draining) => break,
             }
         }
-        shared.drain_deadline.set(shared.deadlines.clock().now() + shared.limits.drain_timeout);
+        let now = shared.deadlines.clock().now();
+        shared.drain_deadline.send_replace(now + shared.limits.drain_timeout);
         shared.evictable.borrow_mut().iter_mut().for_each(close_idle);
         info!(shared.log, "draining"; "connections" => shared.open.get());
         // Prevents connections that wait in the system's backlog from being reset unread: they are accepted
@@ -387,6 +388,20 @@
         ((has_carried_request, key), closing)
     }
 
+    /// Returns the time within which a request must be answered before this process ends, in milliseconds.
+    /// Infinite before this process drains.
+    fn drain_time_left(&self) -> Millis {
+        (*self.drain_deadline.borrow() - self.deadlines.clock().now()).max(1.0)
+    }
+
+    /// Resolves once this process drains and the time by which every request must be answered has come.
+    async fn drain_timed_out(&self) {
+        let mut deadline = self.drain_deadline.subscribe();
+        if deadline.wait_for(|deadline| deadline.is_finite()).await.is_ok() {
+            self.deadlines.sleep(self.drain_time_left()).await;
+        }
+    }
+
     /// Removes a connection from the evictable ones.
     fn remove_evictable(&self, (has_carried_request, key): EvictableKey) {
         self.evictable.borrow_mut()[usize::from(has_carried_request)].remove(&key);
@@ -688,6 +703,7 @@
                 (true, None) => now + IDLE_TIMEOUT,
                 _ => *message_start.get_or_insert(now) + HEAD_TIMEOUT,
             };
+            let deadline = deadline.min(now + shared.drain_time_left());
             // A message that has begun on a connection that has carried a request is a usual client's, and is
             // not evicted. During an operator's drain the first message of a new connection is still read.
             let closes = self.is_draining()
@@ -787,6 +803,7 @@
                 () = closing => Err(TOO_SLOW),
                 Ok(_) = role.wait_for(|role| *role == Role::Retiring), if !self.over_limit => Ok(true),
                 () = shared.deadlines.sleep(self.body_time_left(started, read)) => Err(TOO_SLOW),
+                () = shared.drain_timed_out() => Err(TOO_SLOW),
             };
             if let Some((key, _)) = evictable {
                 shared.remove_evictable(key);
@@ -1028,9 +1045,7 @@
                 self.has_carried_request.set(true);
                 // Prevents a request that arrives late while this process drains from being lost when it
                 // exits.
-                info.time_left = info
-                    .time_left
-                    .min((shared.drain_deadline.get() - shared.deadlines.clock().now()).max(1.0));
+                info.time_left = info.time_left.min(shared.drain_time_left());
                 let request = shared.stats.request_started(info.class);
                 let upload = rest.map(|body| {
                     let (sender, pieces) = body_channel::channel();
@@ -1050,13 +1065,15 @@
                             UploadResult::Complete
                         }
                         result = upload => result,
+                        // The process ends soon after, and the last byte might come unseen.
+                        () = shared.drain_timed_out() => UploadResult::Invalid(TOO_SLOW),
                     };
                     match result {
                         UploadResult::Complete => {}
                         UploadResult::Invalid(error) => return Some(self.answer_error(out, error)),
                         UploadResult::ClientLeft => return None,
                     }
-                    pending.body_received();
+                    pending.body_received(shared.drain_time_left());
                     unread = early.is_some().then_some(body);
                 }
                 let final_answer = match early {
--- a/tests/stalled_uploads.rs
+++ b/tests/stalled_uploads.rs
@@ -5,22 +5,17 @@
 
 use bytes::BytesMut;
 use serde_json::json;
-use socket2::SockRef;
 use stand_ins::admin::figures;
 use stand_ins::ingress::*;
+use stand_ins::long_body::{Behavior, LongBodyBackend};
 use stand_ins::*;
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use weldhub::net::http::{MessageKind, peek_head};
+use weldhub::net::http::MessageKind;
 
-/// The receive buffer of a backend's connections, in bytes. The system's own size may hold a whole body.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// The length of a body, in bytes: more than all buffers between the ingress and the backend hold.
 const BODY_BYTES: usize = 8 << 20;
 /// The length of the body that a pausing backend reads, in bytes.
@@ -30,107 +25,13 @@
 /// An answer later than this after the last byte of the body counts as lost.
 const ANSWER_LIMIT: Duration = Duration::from_millis(TIMEOUT_MS as u64 + 500);
 
-/// What a backend does once it has received the head of a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Behavior {
-    /// It writes these bytes, reads nothing more and stays open.
-    Stop(&'static str),
-    /// It writes these bytes, reads the body and answers 200.
-    Read(&'static str),
-    /// It reads the body, with a pause after every [`PAUSE_EVERY_BYTES`] of the first half, and answers 200.
-    Pause,
-}
-
-/// The bytes that a pausing backend reads between two pauses.
-const PAUSE_EVERY_BYTES: usize = 4 << 20;
-/// A pause that is shorter than the client's timeout; all pauses together are longer.
-const PAUSE: Duration = Duration::from_millis(500);
-
-/// A backend that treats each request in the same way.
-struct StalledBackend {
-    at: SocketAddr,
-    /// The number of connections that are open.
-    open: Rc<Cell<usize>>,
-    /// Makes a connection that has stopped read on to its end.
-    resume: Rc<Notify>,
-}
-
-impl StalledBackend {
-    async fn start(behavior: Behavior) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
-        let (at, open) = (listener.local_addr().unwrap(), Rc::new(Cell::new(0)));
-        let resume = Rc::new(Notify::new());
-        let (counter, resumed) = (open.clone(), resume.clone());
-        spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                let (counter, resumed) = (counter.clone(), resumed.clone());
-                counter.set(counter.get() + 1);
-                spawn_local(async move {
-                    serve(stream, behavior, &resumed).await;
-                    counter.set(counter.get() - 1);
-                });
-            }
-        });
-        Self { at, open, resume }
-    }
-
-    /// Starts an ingress in front of this backend. Returns its admin interface too.
-    async fn ingress(&self) -> (Ingress, SocketAddr, Agent) {
-        let agent = Agent::start().await;
-        let mut config = ingress_config(agent.at, vec![service_entry("s1", self.at, 0, "in_service")]);
-        let admin = own_address();
-        config["management"] = json!(admin.to_string());
-        (start(&config).await, admin, agent)
-    }
-}
-
-/// Serves one request, or waits until the other side closes the connection.
-async fn serve(mut stream: TcpStream, behavior: Behavior, resumed: &Notify) {
-    let mut buffer = BytesMut::new();
-    let head = loop {
-        if let Some((head, length)) = peek_head(&buffer, MessageKind::Request).unwrap() {
-            let _ = buffer.split_to(length);
-            break head;
-        }
-        if stream.read_buf(&mut buffer).await.unwrap_or(0) == 0 {
-            return;
-        }
-    };
-    match behavior {
-        Behavior::Stop(text) => {
-            stream.write_all(text.as_bytes()).await.unwrap();
-            let closed = async {
-                while stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                }
-            };
-            tokio::select! {
-                () = closed => {}
-                () = resumed.notified() => drop(stream.read_to_end(&mut Vec::new()).await),
-            }
-            return;
-        }
-        Behavior::Read(text) => stream.write_all(text.as_bytes()).await.unwrap(),
-        Behavior::Pause => {}
-    }
-    let length = head.body_length().unwrap();
-    let mut missing = length - buffer.len();
-    let mut piece = vec![0; 64 * 1024];
-    while missing > 0 {
-        let pauses_before = missing / PAUSE_EVERY_BYTES;
-        match stream.read(&mut piece).await {
-            Ok(n) if n > 0 => missing -= n,
-            _ => return,
-        }
-        let pauses = behavior == Behavior::Pause && missing > length / 2;
-        if pauses && missing / PAUSE_EVERY_BYTES < pauses_before {
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone").await.unwrap();
-    let _ = stream.read_buf(&mut buffer).await;
+/// Starts an ingress in front of this backend. Returns its admin interface too.
+async fn start_ingress(backend: &LongBodyBackend) -> (Ingress, SocketAddr, Agent) {
+    let agent = Agent::start().await;
+    let mut config = ingress_config(agent.at, vec![service_entry("s1", backend.at, 0, "in_service")]);
+    let admin = own_address();
+    config["management"] = json!(admin.to_string());
+    (start(&config).await, admin, agent)
 }
 
 /// The head of a request with a body of this length in bytes, and that body.
@@ -171,8 +72,8 @@
 
 /// Sends a long request to a backend that writes `text` after the head and hangs.
 async fn ask_hung_backend(text: &'static str, chunked: bool) {
-    let backend = StalledBackend::start(Behavior::Stop(text)).await;
-    let (ingress, admin, _agent) = backend.ingress().await;
+    let backend = LongBodyBackend::start(Behavior::Stop(text)).await;
+    let (ingress, admin, _agent) = start_ingress(&backend).await;
     let (status, after) = ask_long(&ingress, BODY_BYTES, chunked)
         .await
         .unwrap_or_else(|| panic!("no answer; the backend sent {text:?} and hung; chunked: {chunked}"));
@@ -212,8 +113,8 @@
             "HTTP/1.1 100 Continue\r\n\r\n",
             "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
         ] {
-            let backend = StalledBackend::start(Behavior::Read(text)).await;
-            let (ingress, ..) = backend.ingress().await;
+            let backend = LongBodyBackend::start(Behavior::Read(text)).await;
+            let (ingress, ..) = start_ingress(&backend).await;
             assert_eq!(ask_long(&ingress, BODY_BYTES, false).await.unwrap().0, 200, "{text:?}");
         }
     });
@@ -225,8 +126,8 @@
 fn upload_is_released_when_its_client_leaves_a_hung_backend() {
     local(async {
         for text in ["", "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\n"] {
-            let backend = StalledBackend::start(Behavior::Stop(text)).await;
-            let (ingress, admin, _agent) = backend.ingress().await;
+            let backend = LongBodyBackend::start(Behavior::Stop(text)).await;
+            let (ingress, admin, _agent) = start_ingress(&backend).await;
             let mut client = Client::new(ingress.at).await;
             let request = long_request(BODY_BYTES, false);
             client.0.write_all(&request[..request.len() / 4]).await.unwrap();
@@ -249,8 +150,8 @@
 #[test]
 fn backend_that_pauses_is_not_taken_for_a_hung_one() {
     local(async {
-        let backend = StalledBackend::start(Behavior::Pause).await;
-        let (ingress, ..) = backend.ingress().await;
+        let backend = LongBodyBackend::start(Behavior::Pause).await;
+        let (ingress, ..) = start_ingress(&backend).await;
         assert_eq!(ask_long(&ingress, LONGER_BODY_BYTES, false).await.unwrap().0, 200);
     });
 }
