Answer what is read during the drain within 3 s, before SIGKILL may come

Callers of a backend that does not answer got nothing then. Change: requests that are read during the drain have at most 3 s from its start. Those from before keep their time.

--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -185,7 +185,8 @@
     pub max_idle_connections: usize,
     /// The bytes of messages that all connections may buffer.
     pub memory_budget: MemoryBudget,
-    /// The time within which every request must be answered once the process drains.
+    /// The time within which every request that is read while the process drains must be answered, in
+    /// milliseconds from the start of the drain.
     pub drain_timeout: Millis,
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -64,6 +64,9 @@
 /// An instance that drains ends once all requests are answered, at the latest this many milliseconds after
 /// the longest deadline of a request.
 const DRAIN_SLACK: Millis = 100.0;
+/// The longest time for which requests that are read while an instance drains are served, in milliseconds.
+/// Orchestrators count a longer deadline as this when they choose the time of SIGKILL.
+const MAX_DRAIN_TIMEOUT: Millis = 3000.0;
 /// The maximum number of concurrent checks, per connection that the authorisation front may have.
 const CHECKS_PER_CONNECTION: usize = 2;
 /// The maximum number of connections that wait to be accepted.
@@ -547,7 +550,7 @@
         max_rejected_connections: rejected_clients,
         max_idle_connections: idle,
         memory_budget: budget(),
-        drain_timeout: last,
+        drain_timeout: last.min(MAX_DRAIN_TIMEOUT),
     };
     let reader = site.clone();
     let read = move |head: &_, body, whole| platform::read(head, body, whole, &reader);
--- a/tests/termination.rs
+++ b/tests/termination.rs
@@ -107,3 +107,23 @@
         assert_eq!(backend.bodies.get(), 0);
     });
 }
+
+/// Guards against a request that is read during the drain outliving the process where clients wait for longer than
+/// 3 s: SIGKILL may come 3.7 s after SIGTERM.
+#[test]
+fn request_of_the_drain_is_answered_before_sigkill_may_come() {
+    local(async {
+        let backend = LongBodyBackend::start(Behavior::Work(Duration::from_secs(60))).await;
+        let terminating = Terminating::start("sigkill", &backend, 4000).await;
+        let mut client = Client::new(terminating.at).await;
+        let text = board("a", 4000, 1);
+        client.send(&text[..40]).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        terminating.program.signal("TERM");
+        let since = Instant::now();
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        client.send(&text[40..]).await;
+        assert_eq!(answer_status(&mut client).await, Some(504));
+        assert!(since.elapsed() < Duration::from_millis(3700), "{:?}", since.elapsed());
+    });
+}
