Let long answers end before the process does, for up to 30 s after SIGTERM

Cause: callers of an answer of more than 64 KiB that was on its way at SIGTERM got a part of it: the process ended 0.1 s after the longest timeout of a client, which bounds requests with a deadline. A long answer has none once it has begun, and what ends the process did not know of it. Change: the server side counts connections with a long answer until they are closed. While there are any after that time the process goes on, at the latest until 30 s after SIGTERM, which is what orchestrators wait by default before SIGKILL. Why it works: the end of the process waits for just what it would cut off, and the bound holds for answers without end.

--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -171,6 +171,8 @@
     scratch: RefCell<Vec<u8>>,
     /// While this process drains, the time by which every request must be answered. Infinite before that.
     drain_deadline: watch::Sender<Millis>,
+    /// The number of connections with a long answer that is not finished.
+    long_answers: watch::Sender<usize>,
     log: Logger,
 }
 
@@ -244,11 +246,18 @@
                 open_ids,
                 scratch,
                 drain_deadline: watch::Sender::new(f64::INFINITY),
+                long_answers: watch::Sender::new(0),
                 log,
             }),
         }
     }
 
+    /// Returns the number of connections with a long answer that is not finished. Such an answer is forwarded
+    /// as its backend sends it and its client takes it, however long after the request's deadline.
+    pub fn long_answers(&self) -> watch::Receiver<usize> {
+        self.shared.long_answers.subscribe()
+    }
+
     /// Serves the connections that `listener` accepts and those that another process hands over. Returns once
     /// the process drains and the last connection is closed.
     pub async fn run(self, listener: TcpListener, mut adopted: mpsc::UnboundedReceiver<ConnectionHandover>) {
@@ -452,6 +461,22 @@
     has_carried_request: Cell<bool>,
 }
 
+/// Counts a connection with a long answer until it is dropped.
+struct LongAnswer<'a>(&'a watch::Sender<usize>);
+
+impl<'a> LongAnswer<'a> {
+    fn begin(count: &'a watch::Sender<usize>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self(count)
+    }
+}
+
+impl Drop for LongAnswer<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
 /// The id of an open request, which is freed on drop.
 struct OpenId<'a, F>(&'a Shared<F>, Bytes);
 
@@ -473,12 +498,16 @@
     /// `message_start` is the time at which the first message began, or `None` if none has begun.
     async fn run(self, mut stream: TcpStream, mut buffer: BytesMut, mut message_start: Option<Millis>) {
         let mut out = BytesMut::new();
+        // Counts until the next message, or until the connection is closed: the end of the process would cut off
+        // what the system has not sent yet.
+        let mut long_answer = None;
         loop {
             out.clear();
             let mut reservation = self.shared.limits.memory_budget.reserve();
             let prepared =
                 match self.next_step(&mut stream, &mut buffer, &mut reservation, &mut message_start).await {
                     Ok(Step::Message(message)) => {
+                        drop(long_answer.take());
                         let prepared =
                             self.answer(message, &mut stream, &mut buffer, &mut reservation, &mut out).await;
                         let Some(prepared) = prepared else { return };
@@ -506,6 +535,7 @@
                 return;
             }
             if let Some((rest, chunked)) = rest {
+                long_answer = Some(LongAnswer::begin(&self.shared.long_answers));
                 match self.forward_answer(&mut stream, &mut buffer, &mut ahead, rest, chunked).await {
                     Forwarded::Complete => {}
                     Forwarded::Incomplete => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -64,6 +64,9 @@
 /// An instance that drains ends once all requests are answered, at the latest this many milliseconds after
 /// the longest deadline of a request.
 const DRAIN_SLACK: Millis = 100.0;
+/// How long after it is told to stop an instance ends at the latest, in milliseconds, if long answers are still on
+/// their way. Orchestrators send SIGKILL after about this time unless they are told otherwise.
+const MAX_TERMINATION_TIME: Millis = 30_000.0;
 /// The longest time for which requests that are read while an instance drains are served, in milliseconds.
 /// Orchestrators count a longer deadline as this when they choose the time of SIGKILL.
 const MAX_DRAIN_TIMEOUT: Millis = 3000.0;
@@ -424,12 +427,13 @@
     }
 
     /// Serves until `stop` resolves, and then until `server`, which watches the phase, has answered all
-    /// requests. `start_handover` is called once the first list has been received, or the wait for it has
-    /// timed out.
+    /// requests. `long_answers` is the number of answers that are forwarded in pieces; they may take longer
+    /// than the other requests. `start_handover` is called once the first list has been received, or the wait
+    /// for it has timed out.
     async fn serve(
         mut self,
         instance: &InstanceConfig,
-        mut server: JoinHandle<()>,
+        (mut server, long_answers): (JoinHandle<()>, watch::Receiver<usize>),
         start_handover: impl FnOnce(),
         stop: JoinHandle<()>,
         log: Logger,
@@ -451,6 +455,7 @@
                 return Err(io::Error::other(format!("an essential task ended: {ended:?}")));
             }
         }
+        let told_at = self.deadlines.clock().now();
         info!(log, "stopping");
         self.phase.send_replace(Phase::Stopping);
         if *role.borrow() == Role::Active {
@@ -458,12 +463,23 @@
         }
         self.phase.send_replace(Phase::Draining);
         let timeout = self.longest_deadline + DRAIN_SLACK;
-        let drained = self.deadlines.within(timeout, &mut server).await.is_some();
+        let mut drained = self.deadlines.within(timeout, &mut server).await.is_some();
+        if !drained && *long_answers.borrow() > 0 {
+            info!(log, "long answers are waited for"; "answers" => *long_answers.borrow());
+            let time_left = told_at + MAX_TERMINATION_TIME - self.deadlines.clock().now();
+            let _ = self.deadlines.within(time_left, none_left(long_answers)).await;
+            drained = self.deadlines.within(DRAIN_SLACK, &mut server).await.is_some();
+        }
         info!(log, "stopped"; "all_answered" => drained);
         Ok(())
     }
 }
 
+/// Waits until a count is 0, or is no longer kept.
+async fn none_left(mut count: watch::Receiver<usize>) {
+    let _ = count.wait_for(|count| *count == 0).await;
+}
+
 /// Runs an ingress of the platform on the given sockets until `stop` resolves. Must be called within a local
 /// task set. `ways` holds the current addresses of discovery and of the counter, which a reload of the
 /// configuration changes.
@@ -557,7 +573,8 @@
     let (signals, stats) = ((core.signals(), leaving_clients), core.stats.clone());
     let bounds = (limits, site.max_retry_after);
     let server_side = ServerSide::new(read, exchange, deadlines, signals, stats, bounds, log.clone());
-    let server = spawn_local(server_side.run(listener, incoming_clients));
+    let long_answers = server_side.long_answers();
+    let server = (spawn_local(server_side.run(listener, incoming_clients)), long_answers);
     let path = instance.admin_listen.and_then(|_| rendezvous::path(instance.listen, "next"));
     let ended_attempts = std::mem::replace(&mut core.ended_attempts, mpsc::unbounded_channel().1);
     let outgoing = Outgoing {
@@ -622,5 +639,6 @@
             info!(server_log, "serving ended"; "error" => %e);
         }
     });
-    core.serve(&instance, server, || {}, stop, log).await
+    let no_long_answers = watch::channel(0).1;
+    core.serve(&instance, (server, no_long_answers), || {}, stop, log).await
 }
--- a/tests/termination.rs
+++ b/tests/termination.rs
@@ -4,13 +4,13 @@
 
 use serde_json::json;
 use stand_ins::ingress::*;
-use stand_ins::long_body::{Behavior, LongBodyBackend};
+use stand_ins::long_body::{Behavior, LongBodyBackend, PIECE_BYTES};
 use stand_ins::program::Program;
 use stand_ins::*;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
-use weldhub::net::http::MessageKind;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use weldhub::net::http::{MessageKind, peek_head};
 
 /// The longest timeout of a client, in milliseconds.
 const TIMEOUT_MS: u32 = 900;
@@ -127,3 +127,47 @@
         assert!(since.elapsed() < Duration::from_millis(3700), "{:?}", since.elapsed());
     });
 }
+
+/// Asks for an answer of this many pieces, one each 100 ms, has the program told to end once it has begun, and
+/// returns the bytes received of its body.
+async fn long_answer_at_sigterm(name: &str, pieces: usize) -> (usize, Terminating, Instant) {
+    let pause = Duration::from_millis(100);
+    let backend = LongBodyBackend::start(Behavior::AnswerSlowly { pieces, pause }).await;
+    let terminating = Terminating::start(name, &backend, TIMEOUT_MS).await;
+    let mut client = Client::new(terminating.at).await;
+    client.send(&board("a", 900, 1)).await;
+    let head_length = loop {
+        assert!(client.0.read_buf(&mut client.1).await.unwrap() > 0);
+        if let Some((head, length)) = peek_head(&client.1, MessageKind::Response).unwrap() {
+            assert_eq!(head.status(), 200);
+            break length;
+        }
+    };
+    terminating.program.signal("TERM");
+    let since = Instant::now();
+    while client.1.len() < head_length + pieces * PIECE_BYTES
+        && client.0.read_buf(&mut client.1).await.is_ok_and(|n| n > 0)
+    {}
+    (client.1.len() - head_length, terminating, since)
+}
+
+/// Guards against a long answer being cut off by the end of the process, though its backend and its client go on
+/// with it.
+#[test]
+fn long_answer_is_not_cut_off_by_sigterm() {
+    local(async {
+        let (received, terminating, since) = long_answer_at_sigterm("answer", 30).await;
+        assert_eq!(received, 30 * PIECE_BYTES);
+        terminating.ends_within(Duration::from_secs(4), since).await;
+    });
+}
+
+/// Guards against a process that never ends because of an answer that goes on and on.
+#[test]
+fn process_ends_in_bounded_time_under_an_endless_answer() {
+    local(async {
+        let (received, terminating, since) = long_answer_at_sigterm("endless", 600).await;
+        assert!(received < 600 * PIECE_BYTES);
+        terminating.ends_within(Duration::from_secs(30), since).await;
+    });
+}
