Keep a connection of the first process through two upgrades in a row

Cause: a client whose answer still came from the first of three processes had its next request left unread, and its connection reset at that process's end. The second process ended while the first still had connections to pass on, and a draining process whose successor is gone neither passed on nor served what it had: it put it into a queue that nobody reads. Change: a process that was told to stop stays until its predecessor has ended, within the time that it has anyway, and adopts and passes on what it gets. A draining process whose link to the next one is gone serves what it still has and closes each connection after its answer (Role::Detached). Why it works: at any time each connection has a process that reads it: the next one as long as there is a way there, else the one that has it.

--- a/src/net/server_side.rs
+++ b/src/net/server_side.rs
@@ -110,6 +110,9 @@
     Active,
     /// The previous process, which has handed everything over and finishes its attempts in flight.
     Retiring,
+    /// The previous process, told to stop, whose successor ended before it: it can hand nothing over any more,
+    /// and closes each connection that it still has after its answer.
+    Detached,
 }
 
 /// The state of the process that a front follows.
@@ -121,6 +124,8 @@
     pub phase: watch::Receiver<Phase>,
     /// The operator's drain.
     pub drain: watch::Receiver<Drain>,
+    /// Whether a predecessor process may still hand connections over.
+    pub predecessor: watch::Receiver<bool>,
 }
 
 /// A client's connection that is handed over to another process, between answers.
@@ -262,7 +267,7 @@
     /// the process drains and the last connection is closed.
     pub async fn run(self, listener: TcpListener, mut adopted: mpsc::UnboundedReceiver<ConnectionHandover>) {
         let shared = self.shared;
-        let Signals { mut role, mut phase, mut drain } = shared.signals.clone();
+        let Signals { mut role, mut phase, mut drain, mut predecessor } = shared.signals.clone();
         let max_open = shared.limits.max_connections + shared.limits.max_rejected_connections;
         loop {
             let active = *role.borrow_and_update() == Role::Active;
@@ -282,17 +287,7 @@
                         shared.deadlines.sleep(ACCEPT_RETRY_DELAY).await;
                     }
                 },
-                Some(handover) = adopted.recv() => {
-                    let ConnectionHandover { stream, bytes, has_carried_request, message_age } = handover;
-                    shared.open.set(shared.open.get() + 1);
-                    let message_start = message_age.map(|age| shared.deadlines.clock().now() - age);
-                    let connection = Connection {
-                        shared: shared.clone(),
-                        over_limit: false,
-                        has_carried_request: Cell::new(has_carried_request),
-                    };
-                    spawn_local(connection.run(stream, bytes, message_start));
-                }
+                Some(handover) = adopted.recv() => Self::adopt(&shared, handover),
                 Ok(()) = role.changed() => {}
                 () = shared.closed.notified(), if shared.open.get() >= max_open => {}
                 // More connections are old enough for eviction then.
@@ -327,13 +322,33 @@
                     Err(_) => backlog = None,
                 }
             }
-            if shared.open.get() == 0 {
+            // A predecessor passes on the connections whose answers it still waits for: they are served here, or
+            // passed on in turn.
+            if shared.open.get() == 0 && !*predecessor.borrow_and_update() {
                 return;
             }
-            shared.closed.notified().await;
+            tokio::select! {
+                biased;
+                Some(handover) = adopted.recv() => Self::adopt(&shared, handover),
+                () = shared.closed.notified() => {}
+                Ok(()) = predecessor.changed() => {}
+            }
         }
     }
 
+    /// Serves a connection that another process has handed over.
+    fn adopt(shared: &Rc<Shared<F>>, handover: ConnectionHandover) {
+        let ConnectionHandover { stream, bytes, has_carried_request, message_age } = handover;
+        shared.open.set(shared.open.get() + 1);
+        let message_start = message_age.map(|age| shared.deadlines.clock().now() - age);
+        let connection = Connection {
+            shared: shared.clone(),
+            over_limit: false,
+            has_carried_request: Cell::new(has_carried_request),
+        };
+        spawn_local(connection.run(stream, bytes, message_start));
+    }
+
     /// Serves a connection that a client has opened.
     fn accept(shared: &Rc<Shared<F>>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
@@ -693,7 +708,7 @@
 
     /// Returns whether the connection closes after its answer because the process or the operator drains.
     fn is_draining(&self) -> bool {
-        let Signals { role, phase, drain } = &self.shared.signals;
+        let Signals { role, phase, drain, .. } = &self.shared.signals;
         let drains = *phase.borrow() == Phase::Draining || *drain.borrow() == Drain::Closing;
         // If another process has taken over, the connection is handed over instead.
         drains && *role.borrow() != Role::Retiring
--- a/src/node.rs
+++ b/src/node.rs
@@ -214,6 +214,8 @@
     phase: watch::Sender<Phase>,
     drain: watch::Sender<Drain>,
     role: watch::Sender<Role>,
+    /// Whether a predecessor process may still hand connections over.
+    predecessor: watch::Sender<bool>,
     other_process: OtherProcess,
     ended_attempts: mpsc::UnboundedReceiver<AttemptEnd>,
     recovery: RecoveryTracker,
@@ -377,6 +379,7 @@
             phase,
             drain,
             role,
+            predecessor: watch::Sender::new(false),
             other_process,
             ended_attempts,
             recovery,
@@ -384,7 +387,12 @@
     }
 
     fn signals(&self) -> Signals {
-        Signals { role: self.role.subscribe(), phase: self.phase.subscribe(), drain: self.drain.subscribe() }
+        Signals {
+            role: self.role.subscribe(),
+            phase: self.phase.subscribe(),
+            drain: self.drain.subscribe(),
+            predecessor: self.predecessor.subscribe(),
+        }
     }
 
     /// Returns the function that takes lists from discovery or Consul.
@@ -526,6 +534,7 @@
         exchange: core.exchange.clone(),
         role: core.role.clone(),
         phase: core.phase.subscribe(),
+        predecessor: core.predecessor.clone(),
         drain: core.drain.clone(),
         other_process: core.other_process.clone(),
         adopted_clients,
--- a/src/upgrade/handover.rs
+++ b/src/upgrade/handover.rs
@@ -39,6 +39,8 @@
     pub role: watch::Sender<Role>,
     /// The phase of this process between its start and its end.
     pub phase: watch::Receiver<Phase>,
+    /// Whether the old process may still pass connections to this one.
+    pub predecessor: watch::Sender<bool>,
     /// Whether this instance is drained.
     pub drain: watch::Sender<Drain>,
     /// The other process.
@@ -103,6 +105,7 @@
         if drained {
             self.drain.send_replace(Drain::Closing);
         }
+        self.predecessor.send_replace(true);
         self.role.send_replace(Role::Active);
         let (outbox, mut messages) = mpsc::unbounded_channel();
         self.other_process.set(Some(outbox.clone()));
@@ -118,6 +121,7 @@
         }
         self.other_process.set(None);
         self.elsewhere.set(0);
+        self.predecessor.send_replace(false);
         self.exchange.send(EngineEvent::PredecessorGone);
         info!(self.log, "the old process is gone");
     }
@@ -196,12 +200,19 @@
         }
     }
 
-    /// Becomes active again if the next process has ended while this one still serves.
+    /// Becomes active again if the next process has ended while this one still serves. If this one was told to
+    /// stop, it only finishes what it still has.
     fn resume(&self) {
-        if *self.role.borrow() == Role::Retiring && *self.phase.borrow() == Phase::Serving {
+        if *self.role.borrow() != Role::Retiring {
+            return;
+        }
+        if *self.phase.borrow() == Phase::Serving {
             warn!(self.log, "serving again");
             self.exchange.send(EngineEvent::Resume);
             self.role.send_replace(Role::Active);
+        } else {
+            info!(self.log, "connections can no longer pass to the next process");
+            self.role.send_replace(Role::Detached);
         }
     }
 
--- a/tests/socket_races.rs
+++ b/tests/socket_races.rs
@@ -76,7 +76,9 @@
             watch::Sender::new(Role::Active),
             watch::Sender::new(Drain::Inactive),
         );
-        let signals = Signals { role: role.subscribe(), phase: phase.subscribe(), drain: drain.subscribe() };
+        let (role_signal, phase_signal) = (role.subscribe(), phase.subscribe());
+        let (drain_signal, predecessor) = (drain.subscribe(), watch::channel(false).1);
+        let signals = Signals { role: role_signal, phase: phase_signal, drain: drain_signal, predecessor };
         let budget = MemoryBudget::new(budget_bytes, PredecessorConnections::default());
         let limits = ServerLimits {
             max_connections,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -10,6 +10,7 @@
 use stand_ins::*;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// One address for up to three processes in turn, with a temporary folder of their own, two backends and discovery.
@@ -266,3 +267,45 @@
         assert!(program.end().await.success());
     });
 }
+
+/// Upgrades twice in a row while the first process still waits for the answers to two requests. The second process
+/// gets `signal` once the third serves. The client whose answer comes first asks again, on its connection unless
+/// that answer ends it. Returns whether it does, and the status of the second answer.
+async fn ask_after_two_upgrades(signal: &str) -> Option<(bool, u16)> {
+    let mut site = Site::new(&format!("twice-{signal}")).await;
+    site.config_json["settings"]["classes"][1]["giveUp"] = json!(8000.0);
+    site.config_json["settings"]["limits"]["maxAttempts"] = json!(1);
+    let first = site.start(0).await;
+    let (mut client, mut waiting) = (Client::new(site.at).await, Client::new(site.at).await);
+    let received = || site.backends.iter().map(Backend::count).sum::<usize>();
+    let manners = [Serve::Late(Duration::from_secs(4), "late".into()), Serve::Stall];
+    for (i, (client, manner)) in [&mut client, &mut waiting].into_iter().zip(manners).enumerate() {
+        site.backends.iter().for_each(|backend| backend.behave(manner.clone()));
+        client.send(&submit(&format!("{i}"), 8000)).await;
+        until(|| received() == i + 1).await;
+    }
+    site.backends.iter().for_each(|backend| backend.behave(ok("soon")));
+    let second = site.start(1).await;
+    first.signal("TERM");
+    let _third = site.start(2).await;
+    second.signal(signal);
+    let late = client.answer().await?;
+    assert_eq!(&late.body[..], b"late");
+    if late.head.close {
+        client = Client::new(site.at).await;
+    }
+    client.send(&board("next", 900, 1)).await;
+    let next = tokio::time::timeout(Duration::from_millis(1500), client.answer()).await.ok()??;
+    Some((late.head.close, status(&next)))
+}
+
+/// Guards against a connection that nobody serves: it can no longer pass from the first process to the second, which
+/// ended while the first still had requests.
+#[test]
+fn connection_of_the_first_process_is_served_after_two_upgrades_in_a_row() {
+    local(async {
+        for (signal, closes) in [("TERM", false), ("KILL", true)] {
+            assert_eq!(ask_after_two_upgrades(signal).await, Some((closes, 200)), "SIG{signal}");
+        }
+    });
+}
