Split the server side and the client side of the platform's front into modules

Cause: src/net/server_side.rs had grown to 1,341 lines and src/net/client_side.rs to 809; reading, writing, uploads and evictions stood in one file each. Change: code is moved only. server_side has connection, message, upload, eviction and response beside the listener; client_side has write and answer beside the pools. What siblings use became pub(super). Measured: the lines of both, without imports and visibility, are the same but for new module comments, impl headers and rewrapped signatures. The tests of sockets, streams, upgrades and the end of the process pass.

--- /dev/null
+++ b/src/net/client_side/answer.rs
@@ -0,0 +1,222 @@
+//! Reads the answers of backends: short ones completely, while long ones are passed on as they come.
+
+use super::write::is_interim;
+use super::{Answer, CarriedJob, CarryResult, Inner, failed};
+use crate::config::Site;
+use crate::interface::*;
+use crate::net::attempts::{AttemptId, AttemptResult, Stage};
+use crate::net::body_channel::{self, BodyPiece, MAX_PIECE_BYTES};
+use crate::net::http::{
+    BodyDecoder, Head, MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_MESSAGE_BYTES, MessageKind, ParseError,
+    peek_head,
+};
+use crate::net::stream::read_more;
+use bytes::{BufMut, Bytes, BytesMut};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+/// How long an answer of unknown length is collected, in milliseconds, before it is passed on as it comes.
+const UNKNOWN_LENGTH_WAIT: Millis = 150.0;
+/// An answer that is passed on as it comes counts as broken off after this many milliseconds without data.
+const STREAM_READ_TIMEOUT: Millis = 15_000.0;
+
+impl Inner {
+    /// Reads an answer that began before the request was written completely. It cannot be a success. The
+    /// engine's deadlines start with the last byte of the body, which such a request may never reach, so the
+    /// time is limited here.
+    pub(super) async fn read_early_answer(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        job: &CarriedJob<'_>,
+    ) -> CarryResult {
+        let answer = self.read_answer(stream, buffer, job, true);
+        match self.deadlines.within(job.timeout, answer).await {
+            Some((result, _)) => (result, false),
+            None if job.stage.get() == Stage::Written => failed(Outcome::TimedOut),
+            None => failed(Outcome::ConnectFailed),
+        }
+    }
+
+    /// Reads an answer: a short one completely, while a long one is passed on as it comes. `began_early` is
+    /// whether its first byte arrived before the request was written completely.
+    pub(super) async fn read_answer(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        CarriedJob { id, question, .. }: &CarriedJob<'_>,
+        began_early: bool,
+    ) -> CarryResult {
+        let (mut held, mut interim_bytes) = (self.budget.reserve(), 0);
+        let head = loop {
+            match peek_head(buffer, MessageKind::Response) {
+                Ok(Some((head, length))) if is_interim(&head) => {
+                    drop(buffer.split_to(length));
+                    interim_bytes += length;
+                    continue;
+                }
+                Ok(Some((head, length))) => {
+                    drop(buffer.split_to(length));
+                    break head;
+                }
+                // Prevents an endless series of interim responses from taking time and memory.
+                Ok(None) if interim_bytes <= MAX_BUFFERED_MESSAGE_BYTES => {}
+                // The answer cannot be read: the request may have run.
+                Ok(None)
+                | Err(ParseError::Malformed | ParseError::BodyTooLarge | ParseError::HeadTooLarge) => {
+                    return failed(Outcome::Error);
+                }
+            }
+            match read_more(stream, buffer).await {
+                Ok(true) => {}
+                _ => return failed(Outcome::Reset),
+            }
+        };
+        if began_early && head.status() == 200 {
+            // A success cannot be the answer to a request that had not arrived completely.
+            return failed(Outcome::Error);
+        }
+        let mut body = if question.expects_no_body { BodyDecoder::empty() } else { BodyDecoder::new(&head) };
+        let (mut taken, long) =
+            (BytesMut::new(), head.body_length().is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES));
+        let mut length_wait = std::pin::pin!(self.deadlines.sleep(UNKNOWN_LENGTH_WAIT));
+        let mut waited = false;
+        loop {
+            match body.take(buffer, MAX_BUFFERED_BODY_BYTES) {
+                Ok(Some(data)) => {
+                    taken.extend_from_slice(&data);
+                    if taken.len() <= MAX_BUFFERED_BODY_BYTES && !long {
+                        continue;
+                    }
+                }
+                Ok(None) if body.is_done() => {
+                    return evaluate_answer(&head, taken.freeze(), buffer.is_empty(), &self.site);
+                }
+                Ok(None) => {}
+                Err(_) => return failed(Outcome::Error),
+            }
+            let streams = !taken.is_empty()
+                && (long || taken.len() > MAX_BUFFERED_BODY_BYTES || waited && head.body_length().is_none());
+            if streams || !held.try_resize(taken.len() + buffer.len()) {
+                if head.status() != 200 {
+                    return failed(Outcome::Error);
+                }
+                drop(held);
+                return self.stream_answer(stream, buffer, *id, &head, body, taken.freeze()).await;
+            }
+            let more = tokio::select! {
+                more = read_more(stream, buffer) => more,
+                () = &mut length_wait, if !waited => {
+                    waited = true;
+                    continue;
+                }
+            };
+            match more {
+                Ok(true) => {}
+                Ok(false) if body.finish_at_eof() => {}
+                _ => return failed(Outcome::Reset),
+            }
+        }
+    }
+
+    /// Passes an answer on in pieces, as fast as the client takes them. `first` is the part of the body that
+    /// has been read.
+    async fn stream_answer(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        id: AttemptId,
+        head: &Head,
+        mut body: BodyDecoder,
+        first: Bytes,
+    ) -> CarryResult {
+        let (pieces, rest) = body_channel::channel();
+        let load = parse_load(head, &self.site.load_report_names);
+        let answer = Answer {
+            body: first,
+            content_type: content_type(head),
+            content_length: head.body_length(),
+            rest: Some(rest),
+        };
+        if !self.attempts.answer_started(id, answer) {
+            return failed(Outcome::Cancelled);
+        }
+        let result = |outcome| AttemptResult { outcome, load, answer: None };
+        loop {
+            match body.take(buffer, MAX_PIECE_BYTES) {
+                Ok(Some(data)) => {
+                    if pieces.send(BodyPiece::Data(data)).await.is_err() {
+                        return (result(Outcome::Cancelled), false);
+                    }
+                    continue;
+                }
+                Ok(None) if body.is_done() => {
+                    let _ = pieces.send(BodyPiece::End).await;
+                    return (result(Outcome::Served), !head.close && buffer.is_empty());
+                }
+                Ok(None) => {}
+                Err(_) => return (result(Outcome::Error), false),
+            }
+            buffer.reserve(MAX_PIECE_BYTES);
+            let mut limited = (&mut *buffer).limit(MAX_PIECE_BYTES);
+            let read = tokio::select! {
+                read = self.deadlines.within(STREAM_READ_TIMEOUT, stream.read_buf(&mut limited)) => read,
+                () = pieces.closed() => return (result(Outcome::Cancelled), false),
+            };
+            match read {
+                Some(Ok(n)) if n > 0 => {}
+                Some(Ok(_)) if body.finish_at_eof() => {}
+                _ => return (result(Outcome::Reset), false),
+            }
+        }
+    }
+}
+
+fn content_type(head: &Head) -> Option<Bytes> {
+    head.get("content-type").map(Bytes::copy_from_slice)
+}
+
+/// Derives the result of an attempt from a complete answer. `nothing_left` is whether nothing follows the
+/// answer in the read buffer.
+fn evaluate_answer(head: &Head, body: Bytes, nothing_left: bool, site: &Site) -> CarryResult {
+    let not_started = head.get("not-started").is_some_and(|value| value.trim_ascii() == b"1");
+    let outcome = match head.status() {
+        200 => Outcome::Served,
+        503 | 504 if not_started => Outcome::Rejected,
+        _ => Outcome::Error,
+    };
+    let load = parse_load(head, &site.load_report_names);
+    // Backends send no other status, so after one the connection is not trusted with another request.
+    let known_status = matches!(head.status(), 200 | 500 | 503 | 504);
+    let reusable = !head.close && nothing_left && known_status;
+    let answer =
+        Answer { body, content_type: content_type(head), content_length: head.body_length(), rest: None };
+    (AttemptResult { outcome, load, answer: (outcome == Outcome::Served).then_some(answer) }, reusable)
+}
+
+/// Parses the load report in the `Server-Load` field of an answer. Values that cannot be read, or whose name
+/// is not in `names`, are left out.
+fn parse_load(head: &Head, names: &[String]) -> Load {
+    let mut load = Load::default();
+    let Some(text) = head.get("server-load").and_then(|value| std::str::from_utf8(value).ok()) else {
+        return load;
+    };
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|x| x.is_finite()) else { continue };
+        // The settings and the header may use the long or the short name of a value independently of each
+        // other.
+        let (short_name, field) = match name.trim() {
+            "inflight" | "rif" => ("rif", &mut load.in_flight),
+            "queue" | "q" => ("q", &mut load.queued),
+            "util" | "busy" => ("busy", &mut load.busy),
+            "latency_ms" | "lat_ms" => ("lat_ms", &mut load.latency),
+            "qps" | "rate" => ("rate", &mut load.rate),
+            "eps" | "fail_rate" => ("fail_rate", &mut load.error_rate),
+            _ => continue,
+        };
+        if names.iter().any(|known| known == short_name || known == name.trim()) {
+            *field = Some(value);
+        }
+    }
+    load
+}
--- /dev/null
+++ b/src/net/server_side/connection.rs
@@ -0,0 +1,468 @@
+//! A client's connection: reads its messages, and writes their answers, one after the other.
+
+use super::message::{ErrorAnswer, Message, Step, TOO_SLOW};
+use super::response::{insert_keep_alive, put_data, put_served_answer, put_text_answer, strip_body};
+use super::upload::UploadResult;
+use super::{ConnectionHandover, Drain, MAX_READ_AHEAD_BYTES, ParsedRequest, Phase, Role, Shared, Signals};
+use crate::exchange::FinalAnswer;
+use crate::interface::Millis;
+use crate::net::body_channel::{self, BodyPiece, BodyReceiver, SingleUseBody};
+use crate::net::budget::Reservation;
+use crate::net::http::{BodyDecoder, Head, MAX_BODY_BYTES, MAX_BUFFERED_MESSAGE_BYTES};
+use crate::net::stream::read_more;
+use crate::stats::{RequestInProgress, RequestOutcome};
+use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
+use std::cell::Cell;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// A client that accepts no bytes of its answer for this long is dropped.
+const WRITE_TIMEOUT: Millis = 5000.0;
+/// After its last answer a connection is read until it has been silent for this long.
+const LINGER_SILENCE_TIMEOUT: Millis = 500.0;
+/// The maximum time for which a connection is read after its last answer.
+const LINGER_TIMEOUT: Millis = 5000.0;
+/// The interval at which a connection that is not read is checked for whether its client has left. No attempt
+/// may start more than 0.1 s after that.
+const CLOSE_POLL_INTERVAL: Millis = 20.0;
+
+/// A client's connection.
+pub(super) struct Connection<F> {
+    pub(super) shared: Rc<Shared<F>>,
+    /// Whether it was accepted over the limit: its request is rejected.
+    pub(super) over_limit: bool,
+    /// Whether it has carried a request.
+    pub(super) has_carried_request: Cell<bool>,
+}
+
+/// Counts a connection with a long answer until it is dropped.
+struct LongAnswer<'a>(&'a watch::Sender<usize>);
+
+impl<'a> LongAnswer<'a> {
+    fn begin(count: &'a watch::Sender<usize>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self(count)
+    }
+}
+
+impl Drop for LongAnswer<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
+/// The id of an open request, which is freed on drop.
+struct OpenId<'a, F>(&'a Shared<F>, Bytes);
+
+impl<F> Drop for OpenId<'_, F> {
+    fn drop(&mut self) {
+        self.0.open_ids.borrow_mut().remove(&self.1);
+    }
+}
+
+impl<F> Drop for Connection<F> {
+    fn drop(&mut self) {
+        self.shared.open.set(self.shared.open.get() - 1);
+        self.shared.closed.notify_one();
+    }
+}
+
+impl<F: Fn(&Head, Bytes, bool) -> ParsedRequest> Connection<F> {
+    /// Serves the connection until it ends. `buffer` holds bytes that were received before, and
+    /// `message_start` is the time at which the first message began, or `None` if none has begun.
+    pub(super) async fn run(
+        self,
+        mut stream: TcpStream,
+        mut buffer: BytesMut,
+        mut message_start: Option<Millis>,
+    ) {
+        let mut out = BytesMut::new();
+        // Counts until the next message, or until the connection is closed: the end of the process would cut off
+        // what the system has not sent yet.
+        let mut long_answer = None;
+        loop {
+            out.clear();
+            let mut reservation = self.shared.limits.memory_budget.reserve();
+            let prepared =
+                match self.next_step(&mut stream, &mut buffer, &mut reservation, &mut message_start).await {
+                    Ok(Step::Message(message)) => {
+                        drop(long_answer.take());
+                        let prepared =
+                            self.answer(message, &mut stream, &mut buffer, &mut reservation, &mut out).await;
+                        let Some(prepared) = prepared else { return };
+                        prepared
+                    }
+                    Ok(Step::Drop) => return,
+                    Ok(Step::Close) => {
+                        let _ = stream.shutdown().await;
+                        drop((buffer, out));
+                        return self.linger(stream).await;
+                    }
+                    Ok(Step::HandOver) => {
+                        let message_age =
+                            message_start.map(|start| self.shared.deadlines.clock().now() - start);
+                        let (bytes, has_carried_request) = (buffer, self.has_carried_request.get());
+                        let handover = ConnectionHandover { stream, bytes, has_carried_request, message_age };
+                        let _ = self.shared.handover.send(handover);
+                        return;
+                    }
+                    Err(error) => self.answer_error(&mut out, error),
+                };
+            drop(reservation);
+            let PreparedAnswer { mut close, outcome, rest, unread, mut ahead } = prepared;
+            if !self.write(&mut stream, &out).await {
+                return;
+            }
+            if let Some((rest, chunked)) = rest {
+                long_answer = Some(LongAnswer::begin(&self.shared.long_answers));
+                match self.forward_answer(&mut stream, &mut buffer, &mut ahead, rest, chunked).await {
+                    Forwarded::Complete => {}
+                    Forwarded::Incomplete => {
+                        if let Some((request, _)) = outcome {
+                            request.ended(RequestOutcome::Failed);
+                        }
+                        // A reset prevents an answer that lasts until the connection closes from looking
+                        // complete.
+                        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        return;
+                    }
+                    Forwarded::ClientLeft => return,
+                }
+            }
+            if let Some((request, end)) = outcome {
+                request.ended(end);
+            }
+            if let Some(unread) = unread {
+                close |= !self.discard_body(&mut stream, &mut buffer, unread).await;
+            }
+            if close || ahead.overflowed {
+                let _ = stream.shutdown().await;
+                drop((buffer, out));
+                return self.linger(stream).await;
+            }
+            message_start = None;
+        }
+    }
+
+    /// Writes bytes as fast as the client accepts them. Returns `false` if it accepts none any more.
+    pub(super) async fn write(&self, stream: &mut TcpStream, mut bytes: &[u8]) -> bool {
+        while !bytes.is_empty() {
+            match self.shared.deadlines.within(WRITE_TIMEOUT, stream.write(bytes)).await {
+                Some(Ok(n)) if n > 0 => bytes = &bytes[n..],
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    /// Forwards the rest of an answer from the backend to the client.
+    async fn forward_answer(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        ahead: &mut ReadAhead,
+        mut rest: BodyReceiver,
+        chunked: bool,
+    ) -> Forwarded {
+        let mut bytes = BytesMut::new();
+        loop {
+            let piece = tokio::select! {
+                biased;
+                piece = rest.recv() => piece,
+                connected = self.watch_client(stream, buffer, ahead, None) => match connected {
+                    true => continue,
+                    false => return Forwarded::ClientLeft,
+                },
+            };
+            bytes.clear();
+            match piece {
+                Some(BodyPiece::Data(data)) => {
+                    put_data(&mut bytes, &data, chunked);
+                    if !self.write(stream, &bytes).await {
+                        return Forwarded::ClientLeft;
+                    }
+                }
+                Some(BodyPiece::End) => {
+                    let end: &[u8] = if chunked { b"0\r\n\r\n" } else { b"" };
+                    return if self.write(stream, end).await {
+                        Forwarded::Complete
+                    } else {
+                        Forwarded::ClientLeft
+                    };
+                }
+                None => return Forwarded::Incomplete,
+            }
+        }
+    }
+
+    /// Writes the answer to an invalid message. The connection closes after it, as the start of the next
+    /// message is unknown.
+    fn answer_error(&self, out: &mut BytesMut, (status, text): ErrorAnswer) -> PreparedAnswer {
+        let retry_after = (status == 503).then_some(self.shared.retry_after);
+        put_text_answer(out, status, text, retry_after, true);
+        PreparedAnswer { close: true, outcome: None, rest: None, unread: None, ahead: ReadAhead::default() }
+    }
+
+    /// Reads from a client that waits for its answer, to notice when it leaves. Returns `false` if it has
+    /// left. The bytes are kept for the next message, up to the size of one. If there are more, they are all
+    /// dropped, and the connection closes after the answer. Prevents a client that has sent much and left
+    /// from being taken for one that waits. `reserved` is the reservation for the buffered bytes, with the
+    /// length of the body that it covers as well.
+    async fn watch_client(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        ahead: &mut ReadAhead,
+        reserved: Option<(&mut Reservation<'_>, usize)>,
+    ) -> bool {
+        let fits = buffer.len() < MAX_BUFFERED_MESSAGE_BYTES
+            && reserved.is_none_or(|(reservation, body)| reservation.try_resize(body + buffer.len()));
+        if fits && !ahead.overflowed {
+            return read_more(stream, buffer).await.unwrap_or(false);
+        }
+        if !ahead.overflowed {
+            ahead.overflowed = true;
+            *buffer = BytesMut::new();
+        }
+        if ahead.dropped_bytes > MAX_READ_AHEAD_BYTES {
+            self.client_left(stream).await;
+            return false;
+        }
+        // Prevents a client that floods this connection from blocking the thread.
+        tokio::task::yield_now().await;
+        if stream.readable().await.is_err() {
+            return false;
+        }
+        match stream.try_read(&mut self.shared.scratch.borrow_mut()) {
+            Ok(n) => {
+                ahead.dropped_bytes += n;
+                n > 0
+            }
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Reads and discards what still arrives after the last answer. Prevents a reset, which a close over
+    /// unread bytes causes, from overtaking the answer.
+    async fn linger(&self, stream: TcpStream) {
+        let shared = &self.shared;
+        let now = shared.deadlines.clock().now();
+        let (key, closing) = shared.add_evictable((false, false), now);
+        let discard = async {
+            let mut read = 0;
+            while read < MAX_BODY_BYTES
+                && let Some(Ok(())) = shared.deadlines.within(LINGER_SILENCE_TIMEOUT, stream.readable()).await
+            {
+                // Prevents a client that floods this connection from blocking the thread.
+                tokio::task::yield_now().await;
+                match stream.try_read(&mut shared.scratch.borrow_mut()) {
+                    Ok(0) => return,
+                    Ok(n) => read += n,
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        };
+        tokio::select! {
+            _ = shared.deadlines.within(LINGER_TIMEOUT, discard) => {}
+            _ = closing => {}
+        }
+        shared.remove_evictable(key);
+    }
+
+    /// Returns whether the connection closes after its answer because the process or the operator drains.
+    pub(super) fn is_draining(&self) -> bool {
+        let Signals { role, phase, drain, .. } = &self.shared.signals;
+        let drains = *phase.borrow() == Phase::Draining || *drain.borrow() == Drain::Closing;
+        // If another process has taken over, the connection is handed over instead.
+        drains && *role.borrow() != Role::Retiring
+    }
+
+    /// Resolves once a client whose bytes are not read has left. Prevents a request from being sent for a
+    /// client that left while it waited: the system reports the end of the stream even if unread bytes
+    /// precede it.
+    pub(super) async fn client_left(&self, stream: &TcpStream) {
+        loop {
+            self.shared.deadlines.sleep(CLOSE_POLL_INTERVAL).await;
+            if stream.ready(Interest::READABLE).await.is_ok_and(|ready| ready.is_read_closed()) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a message. Writes the head and the first bytes of the body to `out`. Returns `None` if the
+    /// client has left.
+    async fn answer(
+        &self,
+        message: Message,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        reservation: &mut Reservation<'_>,
+        out: &mut BytesMut,
+    ) -> Option<PreparedAnswer> {
+        let shared = &self.shared;
+        let Message { head, body, rest } = message;
+        let read = body.len();
+        let unread = rest.is_some();
+        let is_head = head.request_line().0 == b"HEAD";
+        let closes = |close: bool| close || head.close || self.over_limit || self.is_draining();
+        let mut ahead = ReadAhead::default();
+        let prepared = |close: bool, outcome| {
+            Some(PreparedAnswer { close, outcome, rest: None, unread: None, ahead: ReadAhead::default() })
+        };
+        match (shared.parse)(&head, body, !unread) {
+            ParsedRequest::Invalid(status, text) => {
+                let close = closes(unread);
+                put_text_answer(out, status, text, None, close);
+                prepared(close, None)
+            }
+            ParsedRequest::Readiness => {
+                let close = closes(unread);
+                let before = out.len();
+                match (*shared.signals.phase.borrow(), *shared.signals.drain.borrow()) {
+                    (Phase::Serving, Drain::Inactive) => put_text_answer(out, 200, "ready", None, close),
+                    _ => put_text_answer(out, 503, "not ready", None, close),
+                }
+                if is_head {
+                    strip_body(out, before);
+                }
+                prepared(close, None)
+            }
+            ParsedRequest::Request(info, ..) if self.over_limit => {
+                put_text_answer(out, 503, "no room", Some(shared.retry_after), true);
+                prepared(true, Some((shared.stats.request_started(info.class), RequestOutcome::Rejected)))
+            }
+            ParsedRequest::Request(mut info, mut question, id) => {
+                // Prevents a client from receiving another's answer, and an id from being in flight twice.
+                if !shared.open_ids.borrow_mut().insert(id.clone()) {
+                    let close = closes(unread);
+                    put_text_answer(out, 409, "the id is that of an open flow", None, close);
+                    return prepared(close, None);
+                }
+                let _id = OpenId(shared, id);
+                self.has_carried_request.set(true);
+                // Prevents a request that arrives late while this process drains from being lost when it
+                // exits.
+                info.time_left = info.time_left.min(shared.drain_time_left());
+                let request = shared.stats.request_started(info.class);
+                let upload = rest.map(|body| {
+                    let (sender, pieces) = body_channel::channel();
+                    question.rest = Some(SingleUseBody::new(pieces));
+                    (body, sender)
+                });
+                let mut pending = shared.exchange.submit(info, question);
+                let (mut early, mut unread) = (None, None);
+                if let Some((mut body, sender)) = upload {
+                    let mut read = read;
+                    let upload =
+                        self.forward_body(stream, buffer, reservation, (&mut body, &mut read), sender);
+                    let result = tokio::select! {
+                        biased;
+                        final_answer = &mut pending => {
+                            early = Some(final_answer);
+                            UploadResult::Complete
+                        }
+                        result = upload => result,
+                        // The process ends soon after, and the last byte might come unseen.
+                        () = shared.drain_timed_out() => UploadResult::Invalid(TOO_SLOW),
+                    };
+                    match result {
+                        UploadResult::Complete => {}
+                        UploadResult::Invalid(error) => return Some(self.answer_error(out, error)),
+                        UploadResult::ClientLeft => return None,
+                    }
+                    pending.body_received(shared.drain_time_left());
+                    unread = early.is_some().then_some(body);
+                }
+                let final_answer = match early {
+                    Some(final_answer) => final_answer,
+                    None => loop {
+                        tokio::select! {
+                            biased;
+                            final_answer = &mut pending => break final_answer,
+                            // A client that closes its connection has left. Dropping `pending` tells the
+                            // engine.
+                            connected =
+                                self.watch_client(stream, buffer, &mut ahead, Some((reservation, read))) =>
+                            {
+                                if !connected {
+                                    return None;
+                                }
+                            }
+                        }
+                    },
+                };
+                let close = closes(ahead.overflowed);
+                let (mut close, end, before, mut rest) = (close, final_answer.outcome(), out.len(), None);
+                match final_answer {
+                    FinalAnswer::Served(answer) => {
+                        // Without a length and without chunks, the body lasts until the connection closes.
+                        let chunked =
+                            answer.rest.is_some() && answer.content_length.is_none() && !head.is_http_1_0;
+                        close |= answer.rest.is_some() && answer.content_length.is_none() && head.is_http_1_0;
+                        put_served_answer(out, &answer, chunked, is_head, close);
+                        rest = answer.rest.map(|rest| (rest, chunked));
+                    }
+                    FinalAnswer::Rejected(retry_after) => {
+                        put_text_answer(out, 429, "turned down", Some(retry_after), close)
+                    }
+                    FinalAnswer::NoRoom(retry_after) => {
+                        put_text_answer(out, 503, "no room", Some(retry_after), close)
+                    }
+                    FinalAnswer::Failed { timed_out: true } => {
+                        put_text_answer(out, 504, "no answer in time", None, close)
+                    }
+                    FinalAnswer::Failed { timed_out: false } => {
+                        put_text_answer(out, 502, "failed", None, close)
+                    }
+                }
+                if is_head {
+                    strip_body(out, before);
+                }
+                if head.is_http_1_0 && !close {
+                    insert_keep_alive(out, before);
+                }
+                Some(PreparedAnswer { close, outcome: Some((request, end)), rest, unread, ahead })
+            }
+        }
+    }
+}
+
+/// The result of forwarding the rest of an answer.
+enum Forwarded {
+    /// The answer was forwarded completely.
+    Complete,
+    /// The backend broke off.
+    Incomplete,
+    /// The client has left, or accepts no more bytes.
+    ClientLeft,
+}
+
+/// An answer that is ready to be written, and what follows it.
+struct PreparedAnswer {
+    /// Whether the connection closes after the answer.
+    close: bool,
+    /// The request, and how it is counted once the answer is written. `None` if the message was not a
+    /// request.
+    outcome: Option<(RequestInProgress, RequestOutcome)>,
+    /// The rest of the answer's body, and whether it is sent in chunks.
+    rest: Option<(BodyReceiver, bool)>,
+    /// The part of the request's body that is not read yet, before the next message.
+    unread: Option<BodyDecoder>,
+    /// What was read ahead while the client waited.
+    ahead: ReadAhead,
+}
+
+/// The state of reading ahead while a client waits for its answer.
+#[derive(Debug, Default)]
+struct ReadAhead {
+    /// Whether more bytes were received than are kept. None are kept then.
+    overflowed: bool,
+    /// The number of bytes dropped since.
+    dropped_bytes: usize,
+}
--- /dev/null
+++ b/src/net/server_side/message.rs
@@ -0,0 +1,215 @@
+//! Reads the next message of a client's connection.
+
+use super::connection::Connection;
+use super::{ParsedRequest, Phase, Role};
+use crate::interface::Millis;
+use crate::net::budget::Reservation;
+use crate::net::http::{BodyDecoder, Head, MAX_BUFFERED_BODY_BYTES, MessageKind, ParseError, peek_head};
+use crate::net::stream::{has_unread_bytes, read_more};
+use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
+use tokio::net::TcpStream;
+
+/// A client's connection is closed when it has been idle for this long. Many clients send one request and
+/// keep the connection open.
+const IDLE_TIMEOUT: Millis = 5000.0;
+/// The time within which a head must be complete: the first one counted from the start of the connection, any
+/// other from its first byte. A misbehaving client must get an error or a close within 3 seconds, even if it
+/// is silent.
+const HEAD_TIMEOUT: Millis = 2850.0;
+
+/// A message as far as it has been read.
+pub(super) struct Message {
+    pub(super) head: Head,
+    /// The body, or its first bytes.
+    pub(super) body: Bytes,
+    /// The decoder of the rest of the body, or `None` if `body` is complete.
+    pub(super) rest: Option<BodyDecoder>,
+}
+
+/// The status code and the text of an answer to a message that is not a valid request.
+pub(super) type ErrorAnswer = (u16, &'static str);
+
+/// The answer to a request for which there is no connection or memory left.
+const NO_ROOM: ErrorAnswer = (503, "no room");
+/// The answer to a request that did not arrive in time.
+pub(super) const TOO_SLOW: ErrorAnswer = (408, "the request took too long to come in");
+/// The interim response that asks a client for the body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// The next step of a connection.
+pub(super) enum Step {
+    /// A message is to be answered. A short one is complete.
+    Message(Message),
+    /// The connection is dropped: it has ended between messages, or its place is needed.
+    Drop,
+    /// The connection is closed gracefully between messages.
+    Close,
+    /// The connection is handed over to another process.
+    HandOver,
+}
+
+impl<F: Fn(&Head, Bytes, bool) -> ParsedRequest> Connection<F> {
+    /// Reads the next message: a short one completely, of a long one the head and the first bytes of the
+    /// body. Returns another step if the connection ends, closes or is handed over before that.
+    pub(super) async fn next_step(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        reservation: &mut Reservation<'_>,
+        message_start: &mut Option<Millis>,
+    ) -> Result<Step, ErrorAnswer> {
+        let shared = &self.shared;
+        let is_first_message = message_start.is_some() && !self.has_carried_request.get();
+        let mut role = shared.signals.role.clone();
+        let head = loop {
+            if *role.borrow() == Role::Retiring && !self.over_limit {
+                return Ok(Step::HandOver);
+            }
+            match peek_head(buffer, MessageKind::Request) {
+                Ok(Some((head, length))) => {
+                    drop(buffer.split_to(length));
+                    break head;
+                }
+                Ok(None) => {}
+                Err(error) => return Err(error_answer(error)),
+            }
+            let (now, idle) = (shared.deadlines.clock().now(), buffer.is_empty());
+            if idle {
+                // Prevents idle connections from holding memory.
+                *buffer = BytesMut::new();
+            } else if !reservation.try_resize(buffer.len()) {
+                return Err(NO_ROOM);
+            }
+            let deadline = match (idle, *message_start) {
+                (true, None) => now + IDLE_TIMEOUT,
+                _ => *message_start.get_or_insert(now) + HEAD_TIMEOUT,
+            };
+            let deadline = deadline.min(now + shared.drain_time_left());
+            // A message that has begun on a connection that has carried a request is a usual client's, and is
+            // not evicted. During an operator's drain the first message of a new connection is still read.
+            let closes = self.is_draining()
+                && (!is_first_message || *shared.signals.phase.borrow() == Phase::Draining);
+            let is_evictable = if idle { !closes } else { !self.has_carried_request.get() };
+            let mut evictable = is_evictable.then(|| {
+                shared.add_evictable((self.has_carried_request.get(), idle), message_start.unwrap_or(0.0))
+            });
+            let at_once = Cell::new(false);
+            let closing = async {
+                match &mut evictable {
+                    Some((_, closing)) => at_once.set(closing.await.is_err()),
+                    // While draining, only bytes that have already been received are read.
+                    None if idle => {}
+                    None => std::future::pending().await,
+                }
+            };
+            let more = async {
+                if idle {
+                    stream.readable().await?;
+                }
+                read_more(stream, buffer).await
+            };
+            let more = tokio::select! {
+                biased;
+                more = more => Some(more.unwrap_or(false)),
+                () = closing => None,
+                Ok(_) = role.wait_for(|role| *role == Role::Retiring), if !self.over_limit => Some(true),
+                () = shared.deadlines.sleep(deadline - now) => None,
+            };
+            if let Some((key, _)) = evictable {
+                shared.remove_evictable(key);
+            }
+            let evicted = match more {
+                Some(true) => continue,
+                Some(false) => return Ok(Step::Drop),
+                None if !idle => return Err(TOO_SLOW),
+                None => at_once.get(),
+            };
+            // The system is asked, as the runtime may not have seen bytes that arrived since it last waited,
+            // and a close over unread bytes would reset the connection.
+            if !has_unread_bytes(stream) {
+                return Ok(if evicted { Step::Drop } else { Step::Close });
+            }
+            if !read_more(stream, buffer).await.unwrap_or(false) {
+                return Ok(Step::Drop);
+            }
+        };
+        let mut body = BodyDecoder::new(&head);
+        let (mut decoded, mut read, started) = (BytesMut::new(), 0, shared.deadlines.clock().now());
+        loop {
+            match body.take(buffer, MAX_BUFFERED_BODY_BYTES) {
+                Ok(Some(data)) => {
+                    decoded.extend_from_slice(&data);
+                    if decoded.len() <= MAX_BUFFERED_BODY_BYTES
+                        && reservation.try_resize(decoded.len() + buffer.len())
+                    {
+                        continue;
+                    }
+                }
+                Ok(None) => {}
+                Err(error) => return Err(error_answer(error)),
+            }
+            let complete = body.is_done();
+            if complete && decoded.len() <= MAX_BUFFERED_BODY_BYTES {
+                return Ok(Step::Message(Message { head, body: decoded.freeze(), rest: None }));
+            }
+            if decoded.len() > MAX_BUFFERED_BODY_BYTES
+                || !reservation.try_resize(decoded.len() + buffer.len())
+            {
+                return Ok(Step::Message(Message { head, body: decoded.freeze(), rest: Some(body) }));
+            }
+            if read == 0 {
+                // A body that will not be used is not requested from the client.
+                if let ParsedRequest::Invalid(status, text) = (shared.parse)(&head, Bytes::new(), false) {
+                    return Err((status, text));
+                }
+                if self.over_limit {
+                    return Err(NO_ROOM);
+                }
+                if head.expects_continue() && decoded.is_empty() && !self.write(stream, CONTINUE).await {
+                    return Ok(Step::Drop);
+                }
+            }
+            // As with an incomplete head, the connection may be evicted.
+            let mut evictable =
+                (!self.has_carried_request.get()).then(|| shared.add_evictable((false, false), started));
+            let closing = async {
+                match &mut evictable {
+                    Some((_, closing)) => drop(closing.await),
+                    None => std::future::pending().await,
+                }
+            };
+            let more = tokio::select! {
+                biased;
+                more = read_more(stream, buffer) => Ok(more.unwrap_or(false)),
+                () = closing => Err(TOO_SLOW),
+                Ok(_) = role.wait_for(|role| *role == Role::Retiring), if !self.over_limit => Ok(true),
+                () = shared.deadlines.sleep(self.body_time_left(started, read)) => Err(TOO_SLOW),
+                () = shared.drain_timed_out() => Err(TOO_SLOW),
+            };
+            if let Some((key, _)) = evictable {
+                shared.remove_evictable(key);
+            }
+            if !more? {
+                return Ok(Step::Drop);
+            }
+            if *role.borrow() == Role::Retiring && !self.over_limit {
+                let mut received = body.reencode(&head, &decoded);
+                received.extend_from_slice(buffer);
+                *buffer = received;
+                *message_start = Some(started);
+                return Ok(Step::HandOver);
+            }
+            read += buffer.len();
+        }
+    }
+}
+
+/// Returns the answer to a message that cannot be parsed.
+pub(super) fn error_answer(error: ParseError) -> ErrorAnswer {
+    match error {
+        ParseError::Malformed => (400, "malformed request"),
+        ParseError::BodyTooLarge => (413, "the body is too large"),
+        ParseError::HeadTooLarge => (431, "the head is too large"),
+    }
+}
