Give a client that stops in the middle of a body its error within 3 s

Cause: a client that sent 1 MB of a body and then nothing was waited for 65 s, and for up to half an hour after more. What came fast counted as time earned against the least average rate, the only end of that state. A client that stops in the middle of a request and stays is owed an error or a close within 3 s. Change: while a body has not been answered for, a silence of 2.5 s gets 408. The average rate stays, as does the time for the rest of a body that is answered. Why it works: the silence is measured from the last bytes read, and the time for which the backend holds the body back is not part of it. Measured: client_that_stops_in_the_middle_of_a_body_gets_an_error_within_3_s was unanswered after 60 s before and passes now; a client with pauses of 2 s is served as before.

--- a/src/net/server_side/message.rs
+++ b/src/net/server_side/message.rs
@@ -184,7 +184,7 @@
                 more = read_more(stream, buffer) => Ok(more.unwrap_or(false)),
                 () = closing => Err(TOO_SLOW),
                 Ok(_) = role.wait_for(|role| *role == Role::Retiring), if !self.over_limit => Ok(true),
-                () = shared.deadlines.sleep(self.body_time_left(started, read)) => Err(TOO_SLOW),
+                () = shared.deadlines.sleep(self.body_read_timeout(started, read)) => Err(TOO_SLOW),
                 () = shared.drain_timed_out() => Err(TOO_SLOW),
             };
             if let Some((key, _)) = evictable {
--- a/src/net/server_side/upload.rs
+++ b/src/net/server_side/upload.rs
@@ -18,6 +18,9 @@
 /// The time after its head within which the first bytes of a body must arrive. Later ones have this time in
 /// addition to what [`MIN_BODY_BYTES_PER_MS`] allows.
 const BODY_GRACE_PERIOD: Millis = 2500.0;
+/// A client whose body has not been answered for may send nothing for this long. A client that stops in the middle
+/// of a request must get an error within 3 seconds.
+const MAX_BODY_SILENCE: Millis = 2500.0;
 /// The minimum average rate at which a client must send a body after the grace period, in bytes per
 /// millisecond.
 const MIN_BODY_BYTES_PER_MS: f64 = 16.0;
@@ -25,11 +28,16 @@
 impl<F: Fn(&Head, Bytes, bool) -> ParsedRequest> Connection<F> {
     /// Returns the time left for the next bytes of a body that started at `started` and of which `bytes`
     /// bytes have been received.
-    pub(super) fn body_time_left(&self, started: Millis, bytes: usize) -> Millis {
+    fn body_time_left(&self, started: Millis, bytes: usize) -> Millis {
         started + BODY_GRACE_PERIOD + bytes as f64 / MIN_BODY_BYTES_PER_MS
             - self.shared.deadlines.clock().now()
     }
 
+    /// Returns how long the next bytes of a body that has not been answered for are waited for, in milliseconds.
+    pub(super) fn body_read_timeout(&self, started: Millis, bytes: usize) -> Millis {
+        self.body_time_left(started, bytes).min(MAX_BODY_SILENCE)
+    }
+
     /// Forwards the rest of a request's body to its attempt, until it is complete. If the attempt receives no
     /// more, the rest is discarded. `read` is the number of body bytes received so far.
     pub(super) async fn forward_body(
@@ -75,7 +83,7 @@
                 started += self.shared.deadlines.clock().now() - before;
                 continue;
             }
-            let within = self.body_time_left(started, *read);
+            let within = self.body_read_timeout(started, *read);
             buffer.reserve(MAX_PIECE_BYTES);
             let mut limited = (&mut *buffer).limit(MAX_PIECE_BYTES);
             match self.shared.deadlines.within(within, stream.read_buf(&mut limited)).await {
--- a/tests/stalled_uploads.rs
+++ b/tests/stalled_uploads.rs
@@ -155,3 +155,43 @@
         assert_eq!(ask_long(&ingress, LONGER_BODY_BYTES, false).await.unwrap().0, 200);
     });
 }
+
+/// Guards against a client that stops in the middle of a body after a fast beginning and holds its request for
+/// as long as the body could have taken at the least rate: it is owed an error within 3 s.
+#[test]
+fn client_that_stops_in_the_middle_of_a_body_gets_an_error_within_3_s() {
+    local(async {
+        let backend = LongBodyBackend::start(Behavior::Read("")).await;
+        let (ingress, ..) = start_ingress(&backend).await;
+        let mut clients = Vec::new();
+        for (length, sent) in [(BODY_BYTES, 1 << 20), (60_000, 59_000)] {
+            let mut client = Client::new(ingress.at).await;
+            let text = submit(&format!("{length}"), TIMEOUT_MS);
+            let text = text.replace("Content-Length: 4", &format!("Content-Length: {length}"));
+            client.send(text.strip_suffix("e2e4").unwrap()).await;
+            client.0.write_all(&vec![b'm'; sent]).await.unwrap();
+            clients.push(client);
+        }
+        let stopped_at = Instant::now();
+        for client in &mut clients {
+            assert_eq!(status(&client.answer().await.unwrap()), 408);
+            assert!(stopped_at.elapsed() < Duration::from_secs(3), "{:?}", stopped_at.elapsed());
+        }
+    });
+}
+
+/// Guards against an error for a client that only pauses: each pause is short, and the rate is allowed.
+#[test]
+fn client_that_pauses_in_a_body_is_served() {
+    local(async {
+        let backend = LongBodyBackend::start(Behavior::Read("")).await;
+        let (ingress, ..) = start_ingress(&backend).await;
+        let mut client = Client::new(ingress.at).await;
+        let request = long_request(400_000, false);
+        for piece in request.chunks(150_000) {
+            client.0.write_all(piece).await.unwrap();
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+        assert_eq!(status(&client.answer().await.unwrap()), 200);
+    });
+}
