--- a/tests/gone_clients.rs
+++ b/tests/gone_clients.rs
@@ -60,8 +60,7 @@
             }
         }
         Departure::AfterLongBody => {
-            let text = submit("a", 1400).replace("Content-Length: 4", "Content-Length: 2000000");
-            client.send(text.strip_suffix("e2e4").unwrap()).await;
+            client.send(&submit_head("a", 1400, "Content-Length: 2000000")).await;
             client.0.write_all(&vec![b'x'; 2_000_000]).await.unwrap();
         }
     }
--- a/tests/socket_races.rs
+++ b/tests/socket_races.rs
@@ -360,12 +360,6 @@
     });
 }
 
-/// The head of a request whose body has this length in bytes.
-fn submit_head(length: usize) -> String {
-    let text = submit("a", 1400).replace("Content-Length: 4", &format!("Content-Length: {length}"));
-    text.strip_suffix("e2e4").unwrap().to_owned()
-}
-
 /// The body is long and the first attempt waits for a connection. The kernel buffers some 100 kB of the body
 /// on the ingress's side and up to 4 MiB on the client's side; the end of the connection is behind all of
 /// that.
@@ -382,7 +376,7 @@
             (30_000_000, 30_000_000),
         ] {
             let mut client = RacingClient::new(side.at).await;
-            client.write(&submit_head(length));
+            client.write(&submit_head("a", 1400, &format!("Content-Length: {length}")));
             let body = vec![b'x'; sent];
             // The kernel may not accept all of it.
             let writing = tokio::time::timeout(Duration::from_millis(200), client.stream.write_all(&body));
@@ -407,7 +401,7 @@
         let mut side = ServerSideFixture::start(8, true).await;
         let mut client = RacingClient::new(side.at).await;
         let length = 3_000_000;
-        client.write(&submit_head(length));
+        client.write(&submit_head("a", 1400, &format!("Content-Length: {length}")));
         client.stream.write_all(&vec![b'x'; length]).await.unwrap();
         let EngineEvent::RequestArrived(_, _, question, _answer_sender) = side.events.recv().await.unwrap()
         else {
--- a/tests/stalled_uploads.rs
+++ b/tests/stalled_uploads.rs
@@ -40,9 +40,7 @@
         true => "Transfer-Encoding: chunked".to_owned(),
         false => format!("Content-Length: {length}"),
     };
-    let head =
-        submit("long", TIMEOUT_MS).replace("Content-Length: 4\r\n\r\ne2e4", &format!("{framing}\r\n\r\n"));
-    let mut bytes = head.into_bytes();
+    let mut bytes = submit_head("long", TIMEOUT_MS, &framing).into_bytes();
     if chunked {
         bytes.extend(format!("{length:x}\r\n").as_bytes());
     }
@@ -166,9 +164,8 @@
         let mut clients = Vec::new();
         for (length, sent) in [(BODY_BYTES, 1 << 20), (60_000, 59_000)] {
             let mut client = Client::new(ingress.at).await;
-            let text = submit(&format!("{length}"), TIMEOUT_MS);
-            let text = text.replace("Content-Length: 4", &format!("Content-Length: {length}"));
-            client.send(text.strip_suffix("e2e4").unwrap()).await;
+            let framing = format!("Content-Length: {length}");
+            client.send(&submit_head(&format!("{length}"), TIMEOUT_MS, &framing)).await;
             client.0.write_all(&vec![b'm'; sent]).await.unwrap();
             clients.push(client);
         }
--- a/tests/stand_ins/ingress.rs
+++ b/tests/stand_ins/ingress.rs
@@ -124,9 +124,14 @@
 
 /// A request of the class `move-submit`, which carries an idempotency key; `timeout` is in milliseconds.
 pub fn submit(id: &str, timeout: u32) -> String {
+    submit_head(id, timeout, "Content-Length: 4") + "e2e4"
+}
+
+/// The head of a `move-submit` with these header fields, which frame its body; `timeout` is in milliseconds.
+pub fn submit_head(id: &str, timeout: u32, fields: &str) -> String {
     let common = common_headers(id, timeout, 1);
     format!(
         "POST /move-submit/17?client=0000000000000007 HTTP/1.1\r\n{common}Idempotency-Key: 5c0f6e\r\n\
-         Content-Length: 4\r\n\r\ne2e4"
+         {fields}\r\n\r\n"
     )
 }
--- a/tests/stand_ins/long_body.rs
+++ b/tests/stand_ins/long_body.rs
@@ -11,7 +11,7 @@
 /// The bytes that a pausing backend reads between two pauses.
 const PAUSE_EVERY_BYTES: usize = 4 << 20;
 /// The pause of a pausing backend.
-pub const PAUSE: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(500);
 /// The answer to a body.
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
 
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -271,11 +271,6 @@
     });
 }
 
-/// The head of a `move-submit` with these header fields.
-fn submit_head(id: &str, fields: &str) -> String {
-    submit(id, 900).replace("Content-Length: 4\r\n\r\ne2e4", &format!("{fields}\r\n\r\n"))
-}
-
 #[test]
 fn long_body_is_streamed_once_and_its_timeout_starts_at_its_last_byte() {
     local(async {
@@ -291,7 +286,7 @@
         .into_iter()
         .enumerate()
         {
-            client.send(&submit_head(&format!("a{i}"), fields)).await;
+            client.send(&submit_head(&format!("a{i}"), 900, fields)).await;
             if fields.contains("Expect") {
                 let mut interim = [0; 25];
                 client.0.read_exact(&mut interim).await.unwrap();
@@ -319,7 +314,7 @@
         let (ingress, _agent) = start_ingress(at).await;
         for fields in ["Content-Length: 300000", "Transfer-Encoding: chunked"] {
             let mut client = Client::new(ingress.at).await;
-            client.send(&submit_head("a", fields)).await;
+            client.send(&submit_head("a", 900, fields)).await;
             let bytes = if fields.contains("chunked") { chunked("", &body, 10_000) } else { body.clone() };
             client.0.write_all(&bytes).await.unwrap();
             // The response takes two seconds; the timeout of 900 ms only covers its start.
@@ -337,13 +332,14 @@
         let at = backend.clone().start(with_length(b"done"), 100, false).await;
         let (ingress, _agent) = start_ingress(at).await;
         let (mut stalling, mut leaving) = (Client::new(ingress.at).await, Client::new(ingress.at).await);
-        stalling.send(&submit_head("a", "Content-Length: 300000")).await;
+        stalling.send(&submit_head("a", 900, "Content-Length: 300000")).await;
         stalling.0.write_all(&pattern(100_000)).await.unwrap();
-        leaving.send(&submit_head("b", "Transfer-Encoding: chunked")).await;
+        leaving.send(&submit_head("b", 900, "Transfer-Encoding: chunked")).await;
         leaving.0.write_all(&chunked("", &pattern(100_000), 10_000)[..90_000]).await.unwrap();
         until(|| backend.started_requests.get() == 2).await;
         drop(leaving);
-        let invalid_text = submit_head("c", "Content-Length: 300000").replace("X-Tier: club", "X-Tier: gold");
+        let invalid_text =
+            submit_head("c", 900, "Content-Length: 300000").replace("X-Tier: club", "X-Tier: gold");
         let mut invalid = Client::new(ingress.at).await;
         invalid.send(&invalid_text).await;
         assert_eq!(
@@ -361,7 +357,7 @@
             over_quota.send(&submit(&format!("q{i}"), 900)).await;
             read_response(&mut over_quota.0, &mut over_quota.1).await.unwrap();
         }
-        over_quota.send(&submit_head("z", "Content-Length: 300000")).await;
+        over_quota.send(&submit_head("z", 900, "Content-Length: 300000")).await;
         over_quota.0.write_all(&pattern(100_000)).await.unwrap();
         let (status, _) = read_response(&mut over_quota.0, &mut over_quota.1).await.unwrap();
         assert_eq!(status, 429);
--- a/tests/termination.rs
+++ b/tests/termination.rs
@@ -50,8 +50,7 @@
 
 /// The head of a request with a body of this length, in bytes.
 fn head_with_body(id: &str, length: usize) -> String {
-    let text = submit(id, 3000).replace("Content-Length: 4", &format!("Content-Length: {length}"));
-    text.strip_suffix("e2e4").unwrap().to_owned()
+    submit_head(id, 3000, &format!("Content-Length: {length}"))
 }
 
 /// Waits for an answer and returns its status; `None` if the connection ends before.
