--- a/src/engine.rs
+++ b/src/engine.rs
@@ -13,10 +13,12 @@
 use crate::maintenance::Maintenance;
 use crate::membership::connection_failures::FailureMonitor;
 use crate::state::Limiter;
+use crate::stats::{RefusalReason, Stats};
 use crate::subset::Subset;
 use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 /// The attempts of a request end this many milliseconds before its deadline, so that the decision module can
@@ -90,8 +92,8 @@
     /// The number of attempts started so far.
     started: u16,
     in_flight: Vec<Attempt>,
-    /// Whether the attempt that ended last timed out.
-    timed_out: bool,
+    /// How the attempt that ended last ended.
+    last_outcome: Option<Outcome>,
 }
 
 /// Returns how long the attempts of a request may run, and when its final answer is due, both in milliseconds
@@ -137,6 +139,7 @@
     predecessor_attempts: BTreeMap<(RequestId, AttemptIndex), BackendId>,
     /// Discovery has sent a list.
     list_received: bool,
+    stats: Arc<Stats>,
     log: Logger,
 }
 
@@ -170,6 +173,7 @@
             retired: false,
             predecessor_attempts: BTreeMap::new(),
             list_received: false,
+            stats: Stats::new([]),
             log,
         }
     }
@@ -180,6 +184,12 @@
         self
     }
 
+    /// Counts refusals, retries and ends of attempts in `stats`.
+    pub fn with_stats(mut self, stats: Arc<Stats>) -> Self {
+        self.stats = stats;
+        self
+    }
+
     /// Starts from the list that an earlier process knew, if any, and runs until every [`EngineEvent`] sender
     /// is dropped.
     pub async fn run(mut self, known: Option<BackendList>) {
@@ -244,7 +254,7 @@
                     answer_deadline,
                     started: 0,
                     in_flight: Vec::new(),
-                    timed_out: false,
+                    last_outcome: None,
                 };
                 self.requests.insert(id, request);
                 self.decide(Event::Request(Request {
@@ -442,8 +452,14 @@
     fn answer(&mut self, client: oneshot::Sender<FinalAnswer<A>>, answer: FinalAnswer<A>) {
         match answer {
             FinalAnswer::Served(_) => self.summary.served += 1,
-            FinalAnswer::Rejected(_) => self.summary.rejected += 1,
-            FinalAnswer::NoRoom(_) => self.summary.no_room += 1,
+            FinalAnswer::Rejected(_) => {
+                self.summary.rejected += 1;
+                self.stats.refused(RefusalReason::Rejected);
+            }
+            FinalAnswer::NoRoom(_) => {
+                self.summary.no_room += 1;
+                self.stats.refused(RefusalReason::TableFull);
+            }
             FinalAnswer::Failed { .. } => self.summary.failed += 1,
         }
         let _ = client.send(answer);
@@ -502,7 +518,7 @@
         };
         let ended = request.in_flight.swap_remove(position);
         self.deadlines.remove(ended.deadline);
-        request.timed_out = outcome == Outcome::TimedOut;
+        request.last_outcome = Some(outcome);
         match answer {
             Some(answer) if outcome == Outcome::Served => {
                 if let Some(client) = self.close(id) {
@@ -512,6 +528,7 @@
             None if outcome == Outcome::Served && ended.answered_at.is_none() => outcome = Outcome::Error,
             _ => {}
         }
+        self.stats.attempt_ended(outcome);
         if let Some(witness) = &self.outputs.witness {
             witness.record(ended.backend, outcome);
         }
@@ -543,7 +560,8 @@
                 }
             }
             Action::Fail(id) => {
-                let timed_out = self.requests.get(&id).is_some_and(|request| request.timed_out);
+                let last_outcome = self.requests.get(&id).and_then(|request| request.last_outcome);
+                let timed_out = last_outcome == Some(Outcome::TimedOut);
                 if let Some(client) = self.close(id) {
                     self.answer(client, FinalAnswer::Failed { timed_out });
                 }
@@ -607,6 +625,10 @@
         }
         self.summary.attempts += 1;
         self.summary.retries += u64::from(index.0 > 0);
+        if let Some(outcome) = request.last_outcome {
+            self.stats.retried_after(outcome);
+            debug!(self.log, "retry"; "request" => id.0, "attempt" => index.0, "after" => ?outcome);
+        }
         let deadline = self.deadlines.add(self.now + timeout, Expiry::Attempt(id, index));
         request.in_flight.push(Attempt { index, backend, sent_at: self.now, answered_at: None, deadline });
         let question = request.question.clone();
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,8 +1,10 @@
 //! A memory budget for the messages that many connections buffer: each connection may buffer a whole message,
 //! but all of them together must not exhaust the memory.
 
+use crate::stats::{MemoryOwner, Stats};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// The number of connections to backends that a predecessor process still holds. It is at least 1 while that
 /// process is live, and 0 otherwise.
@@ -15,18 +17,23 @@
 /// Bytes that are read ahead are granted only while the total is within the budget divided by this.
 const READ_AHEAD_DIVISOR: usize = 2;
 
-/// A budget in bytes that all connections share.
+/// A budget in bytes that all connections share. Clones share one budget.
+#[derive(Debug, Clone)]
+pub struct MemoryBudget(Rc<Shared>);
+
 #[derive(Debug)]
-pub struct MemoryBudget {
+struct Shared {
     max_bytes: usize,
     predecessor: PredecessorConnections,
     reserved_bytes: Cell<usize>,
+    /// Where the reserved bytes are shown, and as whose.
+    gauge: Option<(Arc<Stats>, MemoryOwner)>,
 }
 
-/// The bytes that one connection has reserved of a budget. They are released on drop.
+/// Bytes that are reserved of a budget. They are released on drop.
 #[derive(Debug)]
-pub struct Reservation<'a> {
-    budget: &'a MemoryBudget,
+pub struct Reservation {
+    budget: MemoryBudget,
     bytes: usize,
 }
 
@@ -34,20 +41,38 @@
     /// Creates a budget of `max_bytes`. Only half of it is available while a predecessor process is live,
     /// which uses the same memory.
     pub fn new(max_bytes: usize, predecessor: PredecessorConnections) -> Self {
-        Self { max_bytes, predecessor, reserved_bytes: Cell::new(0) }
+        Self(Rc::new(Shared { max_bytes, predecessor, reserved_bytes: Cell::new(0), gauge: None }))
+    }
+
+    /// Creates a budget like [`new`](Self::new), whose reserved bytes `stats` show as those of `owner`.
+    pub fn with_gauge(
+        max_bytes: usize,
+        predecessor: PredecessorConnections,
+        stats: Arc<Stats>,
+        owner: MemoryOwner,
+    ) -> Self {
+        let gauge = Some((stats, owner));
+        Self(Rc::new(Shared { max_bytes, predecessor, reserved_bytes: Cell::new(0), gauge }))
     }
 
     fn available_bytes(&self) -> usize {
-        if self.predecessor.get() > 0 { self.max_bytes / 2 } else { self.max_bytes }
+        if self.0.predecessor.get() > 0 { self.0.max_bytes / 2 } else { self.0.max_bytes }
+    }
+
+    fn set_reserved(&self, bytes: usize) {
+        self.0.reserved_bytes.set(bytes);
+        if let Some((stats, owner)) = &self.0.gauge {
+            stats.set_memory(*owner, bytes);
+        }
     }
 
     /// Returns a reservation of 0 bytes.
-    pub fn reserve(&self) -> Reservation<'_> {
-        Reservation { budget: self, bytes: 0 }
+    pub fn reserve(&self) -> Reservation {
+        Reservation { budget: self.clone(), bytes: 0 }
     }
 }
 
-impl Reservation<'_> {
+impl Reservation {
     /// Changes this reservation to `bytes` in total. Returns `false`, and changes nothing, if the budget does
     /// not allow it.
     pub fn try_resize(&mut self, bytes: usize) -> bool {
@@ -65,19 +90,21 @@
 
     /// Returns the total of all reservations if this one were `bytes`.
     fn total_with(&self, bytes: usize) -> usize {
-        self.budget.reserved_bytes.get() - self.bytes + bytes
+        self.budget.0.reserved_bytes.get() - self.bytes + bytes
     }
 
     fn set(&mut self, bytes: usize) -> bool {
-        self.budget.reserved_bytes.set(self.total_with(bytes));
-        self.bytes = bytes;
+        if bytes != self.bytes {
+            self.budget.set_reserved(self.total_with(bytes));
+            self.bytes = bytes;
+        }
         true
     }
 }
 
-impl Drop for Reservation<'_> {
+impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.reserved_bytes.set(self.budget.reserved_bytes.get() - self.bytes);
+        self.set(0);
     }
 }
 
--- a/src/net/server_side/connection.rs
+++ b/src/net/server_side/connection.rs
@@ -1,6 +1,6 @@
 //! A client's connection: reads its messages, and writes their answers, one after the other.
 
-use super::message::{ErrorAnswer, Message, Step, TOO_SLOW};
+use super::message::{ErrorAnswer, Message, Step, TOO_SLOW, close_reason};
 use super::response::{insert_keep_alive, put_data, put_served_answer, put_text_answer, strip_body};
 use super::upload::UploadResult;
 use super::{ConnectionHandover, Drain, MAX_READ_AHEAD_BYTES, ParsedRequest, Phase, Role, Shared, Signals};
@@ -10,8 +10,9 @@
 use crate::net::budget::Reservation;
 use crate::net::http::{BodyDecoder, Head, MAX_BODY_BYTES, MAX_BUFFERED_MESSAGE_BYTES};
 use crate::net::stream::read_more;
-use crate::stats::{RequestInProgress, RequestOutcome};
+use crate::stats::{CloseReason, RefusalReason, RequestInProgress, RequestOutcome};
 use bytes::{Bytes, BytesMut};
+use slog::debug;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::ErrorKind;
@@ -73,14 +74,22 @@
 }
 
 impl<F: Fn(&Head, Bytes, bool) -> ParsedRequest> Connection<F> {
-    /// Serves the connection until it ends. `buffer` holds bytes that were received before, and
-    /// `message_start` is the time at which the first message began, or `None` if none has begun.
-    pub(super) async fn run(
-        self,
+    /// Serves the connection until it ends, and counts why it closed. `buffer` holds bytes that were received
+    /// before, and `message_start` is the time at which the first message began, or `None` if none has begun.
+    pub(super) async fn run(self, stream: TcpStream, buffer: BytesMut, message_start: Option<Millis>) {
+        if let Some(reason) = self.serve(stream, buffer, message_start).await {
+            self.shared.stats.connection_closed(reason);
+            debug!(self.shared.log, "a client's connection is closed"; "reason" => ?reason);
+        }
+    }
+
+    /// Serves the connection, message by message. Returns why it closed, or `None` if it was handed over.
+    async fn serve(
+        &self,
         mut stream: TcpStream,
         mut buffer: BytesMut,
         mut message_start: Option<Millis>,
-    ) {
+    ) -> Option<CloseReason> {
         let mut out = BytesMut::new();
         // Counts until the next message, or until the connection is closed: the end of the process would cut off
         // what the system has not sent yet.
@@ -88,20 +97,22 @@
         loop {
             out.clear();
             let mut reservation = self.shared.limits.memory_budget.reserve();
+            let mut reason = CloseReason::AfterAnswer;
             let prepared =
                 match self.next_step(&mut stream, &mut buffer, &mut reservation, &mut message_start).await {
                     Ok(Step::Message(message)) => {
                         drop(long_answer.take());
                         let prepared =
                             self.answer(message, &mut stream, &mut buffer, &mut reservation, &mut out).await;
-                        let Some(prepared) = prepared else { return };
+                        let Some(prepared) = prepared else { return Some(CloseReason::ClientLeft) };
                         prepared
                     }
-                    Ok(Step::Drop) => return,
-                    Ok(Step::Close) => {
+                    Ok(Step::Drop(reason)) => return Some(reason),
+                    Ok(Step::Close(reason)) => {
                         let _ = stream.shutdown().await;
                         drop((buffer, out));
-                        return self.linger(stream).await;
+                        self.linger(stream).await;
+                        return Some(reason);
                     }
                     Ok(Step::HandOver) => {
                         let message_age =
@@ -109,14 +120,17 @@
                         let (bytes, has_carried_request) = (buffer, self.has_carried_request.get());
                         let handover = ConnectionHandover { stream, bytes, has_carried_request, message_age };
                         let _ = self.shared.handover.send(handover);
-                        return;
+                        return None;
+                    }
+                    Err(error) => {
+                        reason = close_reason(error);
+                        self.answer_error(&mut out, error)
                     }
-                    Err(error) => self.answer_error(&mut out, error),
                 };
             drop(reservation);
             let PreparedAnswer { mut close, outcome, rest, unread, mut ahead } = prepared;
             if !self.write(&mut stream, &out).await {
-                return;
+                return Some(CloseReason::ReaderStalled);
             }
             if let Some((rest, chunked)) = rest {
                 long_answer = Some(LongAnswer::begin(&self.shared.long_answers));
@@ -129,9 +143,9 @@
                         // A reset prevents an answer that lasts until the connection closes from looking
                         // complete.
                         let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-                        return;
+                        return Some(CloseReason::AnswerBroken);
                     }
-                    Forwarded::ClientLeft => return,
+                    Forwarded::ClientLeft => return Some(CloseReason::ClientLeft),
                 }
             }
             if let Some((request, end)) = outcome {
@@ -143,7 +157,8 @@
             if close || ahead.overflowed {
                 let _ = stream.shutdown().await;
                 drop((buffer, out));
-                return self.linger(stream).await;
+                self.linger(stream).await;
+                return Some(if ahead.overflowed { CloseReason::TooMuchAhead } else { reason });
             }
             message_start = None;
         }
@@ -204,6 +219,9 @@
     /// message is unknown.
     fn answer_error(&self, out: &mut BytesMut, (status, text): ErrorAnswer) -> PreparedAnswer {
         let retry_after = (status == 503).then_some(self.shared.retry_after);
+        if status == 503 {
+            self.shared.stats.refused(RefusalReason::NoMemory);
+        }
         put_text_answer(out, status, text, retry_after, true);
         PreparedAnswer { close: true, outcome: None, rest: None, unread: None, ahead: ReadAhead::default() }
     }
@@ -218,7 +236,7 @@
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         ahead: &mut ReadAhead,
-        reserved: Option<(&mut Reservation<'_>, usize)>,
+        reserved: Option<(&mut Reservation, usize)>,
     ) -> bool {
         let fits = buffer.len() < MAX_BUFFERED_MESSAGE_BYTES
             && reserved.is_none_or(|(reservation, body)| reservation.try_resize(body + buffer.len()));
@@ -302,7 +320,7 @@
         message: Message,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        reservation: &mut Reservation<'_>,
+        reservation: &mut Reservation,
         out: &mut BytesMut,
     ) -> Option<PreparedAnswer> {
         let shared = &self.shared;
@@ -334,6 +352,7 @@
                 prepared(close, None)
             }
             ParsedRequest::Request(info, ..) if self.over_limit => {
+                shared.stats.refused(RefusalReason::OverConnectionLimit);
                 put_text_answer(out, 503, "no room", Some(shared.retry_after), true);
                 prepared(true, Some((shared.stats.request_started(info.class), RequestOutcome::Rejected)))
             }
--- a/src/net/server_side/message.rs
+++ b/src/net/server_side/message.rs
@@ -6,6 +6,7 @@
 use crate::net::budget::Reservation;
 use crate::net::http::{BodyDecoder, Head, MAX_BUFFERED_BODY_BYTES, MessageKind, ParseError, peek_head};
 use crate::net::stream::{has_unread_bytes, read_more};
+use crate::stats::CloseReason;
 use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
 use tokio::net::TcpStream;
@@ -42,9 +43,9 @@
     /// A message is to be answered. A short one is complete.
     Message(Message),
     /// The connection is dropped: it has ended between messages, or its place is needed.
-    Drop,
+    Drop(CloseReason),
     /// The connection is closed gracefully between messages.
-    Close,
+    Close(CloseReason),
     /// The connection is handed over to another process.
     HandOver,
 }
@@ -56,7 +57,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        reservation: &mut Reservation<'_>,
+        reservation: &mut Reservation,
         message_start: &mut Option<Millis>,
     ) -> Result<Step, ErrorAnswer> {
         let shared = &self.shared;
@@ -121,17 +122,23 @@
             }
             let evicted = match more {
                 Some(true) => continue,
-                Some(false) => return Ok(Step::Drop),
+                Some(false) => return Ok(Step::Drop(CloseReason::ClientLeft)),
                 None if !idle => return Err(TOO_SLOW),
                 None => at_once.get(),
             };
             // The system is asked, as the runtime may not have seen bytes that arrived since it last waited,
             // and a close over unread bytes would reset the connection.
             if !has_unread_bytes(stream) {
-                return Ok(if evicted { Step::Drop } else { Step::Close });
+                return Ok(match evicted {
+                    true => Step::Drop(CloseReason::Evicted),
+                    false if closes || shared.deadlines.clock().now() < deadline => {
+                        Step::Close(CloseReason::Evicted)
+                    }
+                    false => Step::Close(CloseReason::Idle),
+                });
             }
             if !read_more(stream, buffer).await.unwrap_or(false) {
-                return Ok(Step::Drop);
+                return Ok(Step::Drop(CloseReason::ClientLeft));
             }
         };
         let mut body = BodyDecoder::new(&head);
@@ -167,7 +174,7 @@
                     return Err(NO_ROOM);
                 }
                 if head.expects_continue() && decoded.is_empty() && !self.write(stream, CONTINUE).await {
-                    return Ok(Step::Drop);
+                    return Ok(Step::Drop(CloseReason::ReaderStalled));
                 }
             }
             // As with an incomplete head, the connection may be evicted.
@@ -191,7 +198,7 @@
                 shared.remove_evictable(key);
             }
             if !more? {
-                return Ok(Step::Drop);
+                return Ok(Step::Drop(CloseReason::ClientLeft));
             }
             if *role.borrow() == Role::Retiring && !self.over_limit {
                 let mut received = body.reencode(&head, &decoded);
@@ -205,6 +212,15 @@
     }
 }
 
+/// Returns why a connection closes after this answer.
+pub(super) fn close_reason((status, _): ErrorAnswer) -> CloseReason {
+    match status {
+        408 => CloseReason::TooSlow,
+        503 => CloseReason::NoMemory,
+        _ => CloseReason::Invalid,
+    }
+}
+
 /// Returns the answer to a message that cannot be parsed.
 pub(super) fn error_answer(error: ParseError) -> ErrorAnswer {
     match error {
--- a/src/net/server_side/upload.rs
+++ b/src/net/server_side/upload.rs
@@ -44,7 +44,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        reservation: &mut Reservation<'_>,
+        reservation: &mut Reservation,
         (body, read): (&mut BodyDecoder, &mut usize),
         pieces: mpsc::Sender<BodyPiece>,
     ) -> UploadResult {
@@ -102,7 +102,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        reservation: &mut Reservation<'_>,
+        reservation: &mut Reservation,
         (upload, piece, last): (&mut Upload, BodyPiece, bool),
         read: &mut usize,
     ) -> SendResult {
@@ -135,7 +135,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        reservation: &mut Reservation<'_>,
+        reservation: &mut Reservation,
         (waits_for_attempt, read): (bool, &mut usize),
     ) -> bool {
         let reads = waits_for_attempt
--- a/src/node.rs
+++ b/src/node.rs
@@ -32,7 +32,7 @@
 use crate::net::stream::ReloadableAddress;
 use crate::recovery::{Recovery, RecoveryEvent, StageChange};
 use crate::state::Limiter;
-use crate::stats::Stats;
+use crate::stats::{MemoryOwner, Stats};
 use crate::subset::Subset;
 use crate::upgrade::handover::{Handover, Outgoing};
 use crate::upgrade::link::{Reader, Writer};
@@ -332,9 +332,9 @@
             .map(|size| Subset::new(site.settings.ingress, site.settings.ingress_count, size));
         let engine =
             Engine::new((limiter, maintenance), deadlines.clone(), events, outputs, limits, log.clone());
-        let engine = engine.with_subset(subset);
-        essential_tasks.spawn_local(engine.run(known));
         let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
+        let engine = engine.with_subset(subset).with_stats(stats.clone());
+        essential_tasks.spawn_local(engine.run(known));
         let other_process = OtherProcess::default();
         essential_tasks.spawn_local(close_after_announcement(drain.clone(), deadlines.clone()));
         if let Some(listener) = admin_listener {
@@ -504,7 +504,6 @@
     let (site, generation) = (&instance.site, known.as_ref().map(|known| known.generation));
     let ConnectionLimits { clients, rejected_clients, backends } = instance.limits.connection_limits();
     let elsewhere = PredecessorConnections::default();
-    let budget = || MemoryBudget::new(instance.limits.max_message_bytes(), elsewhere.clone());
     let Sockets { listener, peers, link } = sockets.into();
     let peers = match instance.peer_listen.filter(|_| site.settings.peers) {
         Some(at) if peers.is_none() => Some(bind_peers(&instance, at)?),
@@ -545,7 +544,12 @@
         log: log.clone(),
     });
     let (deadlines, exchange) = (core.deadlines.clone(), core.exchange.clone());
-    let room = (backends, budget());
+    let budget = |owner| {
+        let max_bytes = instance.limits.max_message_bytes();
+        MemoryBudget::with_gauge(max_bytes, elsewhere.clone(), core.stats.clone(), owner)
+    };
+    let (client_budget, backend_budget) = (budget(MemoryOwner::Clients), budget(MemoryOwner::Backends));
+    let room = (backends, backend_budget);
     let client_side = ClientSide::new(
         exchange.clone(),
         deadlines.clone(),
@@ -574,7 +578,7 @@
         max_connections: clients,
         max_rejected_connections: rejected_clients,
         max_idle_connections: idle,
-        memory_budget: budget(),
+        memory_budget: client_budget,
         drain_timeout: last.min(MAX_DRAIN_TIMEOUT),
     };
     let reader = site.clone();
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -1,6 +1,14 @@
 //! The metrics of a process. Each event is counted once, where it happens; counters never decrease.
 
-use crate::interface::ClassId;
+mod memory;
+mod reasons;
+
+pub use memory::MemoryOwner;
+pub use reasons::{CloseReason, RefusalReason};
+
+use crate::interface::{ClassId, Outcome};
+use memory::MemoryGauges;
+use reasons::Reasons;
 use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -46,6 +54,8 @@
     /// The number of requests in progress.
     pending: AtomicU64,
     consul: ConsulStats,
+    reasons: Reasons,
+    memory: MemoryGauges,
 }
 
 /// The numbers of backends.
@@ -75,6 +85,31 @@
         self.attempts.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a client's connection that was closed.
+    pub fn connection_closed(&self, reason: CloseReason) {
+        self.reasons.connection_closed(reason);
+    }
+
+    /// Counts a request that was answered 429 or 503.
+    pub fn refused(&self, reason: RefusalReason) {
+        self.reasons.refused(reason);
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempt_ended(&self, outcome: Outcome) {
+        self.reasons.attempt_ended(outcome);
+    }
+
+    /// Counts a further attempt of a request whose last attempt ended with this outcome.
+    pub fn retried_after(&self, outcome: Outcome) {
+        self.reasons.retried_after(outcome);
+    }
+
+    /// Sets the number of bytes that an owner holds.
+    pub fn set_memory(&self, owner: MemoryOwner, bytes: usize) {
+        self.memory.set(owner, bytes);
+    }
+
     /// Sets the metrics of Consul: the number of services that are queried, the number of them whose queries
     /// fail, and the time of the oldest answer, in Unix milliseconds.
     pub fn set_consul(&self, services: usize, failing: usize, oldest_answer: f64) {
@@ -102,6 +137,8 @@
         let _ = writeln!(text, "svc_members {}", backends.listed);
         let _ = writeln!(text, "svc_members_unavailable {}", backends.unavailable);
         self.consul.write(&mut text);
+        self.reasons.write(&mut text);
+        self.memory.write(&mut text);
         text
     }
 }
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -19,3 +19,23 @@
     three.ended(RequestOutcome::Failed);
     assert!(stats.text(BackendCounts::default()).contains("svc_pending 0\n"));
 }
+
+#[test]
+fn reasons_and_memory_are_shown_once_they_have_occurred() {
+    let stats = Stats::new([]);
+    let before = stats.text(BackendCounts::default());
+    assert!(!before.contains("reason") && !before.contains("svc_memory"), "{before}");
+    stats.connection_closed(CloseReason::TooMuchAhead);
+    stats.refused(RefusalReason::NoMemory);
+    stats.attempt_ended(Outcome::NotSent);
+    stats.retried_after(Outcome::Served);
+    stats.set_memory(MemoryOwner::Backends, 70);
+    stats.set_memory(MemoryOwner::Backends, 0);
+    let after = stats.text(BackendCounts::default());
+    assert_eq!(
+        after.strip_prefix(&before).unwrap(),
+        "svc_client_closes_total{reason=\"too_much_ahead\"} 1\nsvc_refusals_total{reason=\"no_memory\"} 1\n\
+         svc_attempt_ends_total{outcome=\"not_sent\"} 1\nsvc_retries_total{after=\"served\"} 1\n\
+         svc_memory_bytes{owner=\"backends\"} 0\nsvc_memory_peak_bytes{owner=\"backends\"} 70\n"
+    );
+}
