Show processes over their memory limit under hundreds of slow clients

Seven tests on real processes, with 400 clients (200 in the last), memory_mb 32 and 1,024 descriptors: uploads that go on steadily, stop half way, or meet a slow backend; short bodies that stop; whole answers read slowly; requests sent ahead of a long answer; usual clients beside slow uploads.

--- /dev/null
+++ b/tests/memory_limit.rs
@@ -0,0 +1,215 @@
+//! A process with the least memory that the settings allow stays within it, whatever hundreds of clients do,
+//! and gives it back once they have left.
+
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::admin::figures;
+use stand_ins::ingress::*;
+use stand_ins::paced::{Pace, PacedBackend};
+use stand_ins::program::Program;
+use stand_ins::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::spawn_local;
+
+/// The least memory that the settings allow, in MiB.
+const MEMORY_MIB: usize = 32;
+/// The number of clients: more than the process serves at once.
+const CLIENTS: usize = 400;
+/// The bytes that a client writes at a time.
+const STEP_BYTES: usize = 16 * 1024;
+
+/// A process before one backend, with the least memory and 1,024 descriptors.
+struct Site {
+    program: Program,
+    listen: SocketAddr,
+    admin: SocketAddr,
+    _agent: Agent,
+}
+
+impl Site {
+    async fn start(name: &str, pace: Pace) -> Self {
+        let (backend, agent) = (PacedBackend::start(pace).await, Agent::start().await);
+        let mut config = ingress_config(agent.at, vec![service_entry("s1", backend.at, 0, "in_service")]);
+        let admin = own_address();
+        config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MIB, "sockets": 1024});
+        config["management"] = json!(admin.to_string());
+        config["settings"]["tariffs"][0]["storeSize"] = json!(1e6);
+        let mut program = Program::start(name, &config.to_string(), &[], false);
+        let listen = program.serving().await;
+        Self { program, listen, admin, _agent: agent }
+    }
+
+    /// Returns a figure of the process in KiB, such as `VmHWM`, its highest memory.
+    fn memory_kib(&self, figure: &str) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.program.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with(figure)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    /// Checks that the process has stayed within its limit.
+    async fn check_peak(&self) {
+        let peak = self.memory_kib("VmHWM");
+        println!("peak {peak} KiB, now {} KiB", self.memory_kib("VmRSS"));
+        assert!(peak < MEMORY_MIB * 1024, "the peak was {peak} KiB: over the limit");
+    }
+
+    /// Checks that nothing is held for clients that have left, and that half of the limit is free.
+    async fn check_released(&self) {
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let figures = figures(self.admin).await;
+        for owner in ["clients", "backends"] {
+            let held = figures.get(&format!("svc_memory_bytes{{owner=\"{owner}\"}}")).copied().unwrap_or(0);
+            assert_eq!(held, 0, "{owner} hold memory after all clients have left");
+        }
+        let left = self.memory_kib("VmRSS");
+        assert!(left < MEMORY_MIB * 1024 / 2, "{left} KiB are held after all clients have left");
+    }
+}
+
+/// Runs `client` for each client at once, with its number.
+async fn with_clients<F: Future<Output = ()> + 'static>(client: impl Fn(usize) -> F) {
+    let tasks: Vec<_> = (0..CLIENTS).map(|n| spawn_local(client(n))).collect();
+    for task in tasks {
+        task.await.unwrap();
+    }
+}
+
+/// Connects, sends the head of a long request and `sent` bytes of its body of `length` bytes with a pause after
+/// each step, and reads to the end of the answer or for 4 s. Connections that the process turns away are left out.
+async fn upload(listen: SocketAddr, n: usize, (length, sent): (usize, usize), pause: Duration) {
+    let Ok(mut stream) = TcpStream::connect(listen).await else { return };
+    let head = submit_head(&format!("upload-{n}"), 3000, &format!("Content-Length: {length}"));
+    if stream.write_all(head.as_bytes()).await.is_err() {
+        return;
+    }
+    for _ in 0..sent / STEP_BYTES {
+        if stream.write_all(&[b'm'; STEP_BYTES]).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+    }
+    let answer = stream.read_u8();
+    let _ = tokio::time::timeout(Duration::from_secs(4), answer).await;
+}
+
+/// Connects with a small receive buffer, sends `bytes`, and reads the answer in small steps, or not at all for the
+/// first second.
+async fn read_slowly(listen: SocketAddr, bytes: String) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    let Ok(mut stream) = socket.connect(listen).await else { return };
+    if stream.write_all(bytes.as_bytes()).await.is_err() {
+        return;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut piece = [0; 2048];
+    for _ in 0..40 {
+        if stream.read(&mut piece).await.unwrap_or(0) == 0 {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[test]
+fn hundreds_of_steady_uploads_stay_within_the_memory_limit() {
+    local(async {
+        let site = Site::start("steady-uploads", Pace::default()).await;
+        let listen = site.listen;
+        let lengths = (1 << 20, 1 << 20);
+        with_clients(|n| upload(listen, n, lengths, Duration::from_millis(20))).await;
+        site.check_peak().await;
+        site.check_released().await;
+    });
+}
+
+#[test]
+fn hundreds_of_uploads_that_stop_half_way_stay_within_the_memory_limit() {
+    local(async {
+        let site = Site::start("stopped-uploads", Pace::default()).await;
+        let listen = site.listen;
+        let lengths = (8 << 20, 1 << 20);
+        with_clients(|n| upload(listen, n, lengths, Duration::from_millis(2))).await;
+        site.check_peak().await;
+        site.check_released().await;
+    });
+}
+
+#[test]
+fn hundreds_of_uploads_to_a_slow_backend_stay_within_the_memory_limit() {
+    local(async {
+        let pace = Pace { read_rate: 100_000.0, receive_buffer: Some(16 * 1024), ..Pace::default() };
+        let site = Site::start("slow-backend", pace).await;
+        let listen = site.listen;
+        let lengths = (8 << 20, 1 << 20);
+        with_clients(|n| upload(listen, n, lengths, Duration::ZERO)).await;
+        site.check_peak().await;
+        site.check_released().await;
+    });
+}
+
+#[test]
+fn hundreds_of_short_bodies_that_stop_stay_within_the_memory_limit() {
+    local(async {
+        let site = Site::start("short-bodies", Pace::default()).await;
+        let listen = site.listen;
+        let lengths = (64_000, 3 * STEP_BYTES);
+        with_clients(|n| upload(listen, n, lengths, Duration::from_millis(5))).await;
+        site.check_peak().await;
+        site.check_released().await;
+    });
+}
+
+#[test]
+fn hundreds_of_whole_answers_to_slow_readers_stay_within_the_memory_limit() {
+    local(async {
+        let site = Site::start("slow-readers", Pace { answer_bytes: 64_000, ..Pace::default() }).await;
+        let listen = site.listen;
+        with_clients(|n| read_slowly(listen, board(&format!("read-{n}"), 1500, 1))).await;
+        site.check_peak().await;
+        site.check_released().await;
+    });
+}
+
+#[test]
+fn hundreds_of_slow_readers_that_send_ahead_stay_within_the_memory_limit() {
+    local(async {
+        let site = Site::start("sent-ahead", Pace { answer_bytes: 1 << 20, ..Pace::default() }).await;
+        let listen = site.listen;
+        let ahead = format!("{}POST /x HTTP/1.1\r\nX: {}", board("ahead", 1500, 1), "x".repeat(70_000));
+        with_clients(|n| read_slowly(listen, ahead.replace("ahead", &format!("ahead-{n}")))).await;
+        site.check_peak().await;
+        site.check_released().await;
+    });
+}
+
+/// Sends one request of a usual client on a new connection and returns the status; `None` if it is turned away
+/// unread.
+async fn usual_request(listen: SocketAddr, id: &str) -> Option<u16> {
+    let mut client = Client(TcpStream::connect(listen).await.ok()?, Default::default());
+    client.0.write_all(board(id, 1500, 1).as_bytes()).await.ok()?;
+    Some(status(&client.answer().await?))
+}
+
+#[test]
+fn usual_clients_are_served_while_the_memory_limit_is_pressed() {
+    local(async {
+        let pace = Pace { read_rate: 100_000.0, receive_buffer: Some(16 * 1024), ..Pace::default() };
+        let site = Site::start("pressed", pace).await;
+        let listen = site.listen;
+        let uploads: Vec<_> =
+            (0..200).map(|n| spawn_local(upload(listen, n, (8 << 20, 1 << 20), Duration::ZERO))).collect();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for n in 0..50 {
+            assert_eq!(usual_request(listen, &format!("usual-{n}")).await, Some(200));
+        }
+        for upload in uploads {
+            upload.await.unwrap();
+        }
+        site.check_peak().await;
+    });
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -7,6 +7,7 @@
 pub mod full_backlog;
 pub mod ingress;
 pub mod long_body;
+pub mod paced;
 pub mod program;
 pub mod thread_timer;
 
