Let an attempt whose answer has begun belong to its client

Cause: an answer counted as begun with the first byte of its body that was passed on; until then the attempt's time-out ran, which follows the latencies seen so far (short answers). A good head of an answer that is passed on as it comes (announced longer than 64 KiB, or without a length) now makes the attempt the client's: when it would time out, what has come is passed on instead, and the rest as it comes. Until then a reset still leads to a further attempt, as before. Answers of up to 64 KiB are passed on whole and keep their time-out.

Class: a time limit that goes on after what it waited for has happened. Related paths: time-outs of the engine at the attempt's and at the client's deadline take the same way; early answers (before the last byte of the request) keep theirs; authorisers answer whole.

--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -9,10 +9,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 /// How much of an attempt has been written to its backend.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     /// Nothing yet: the attempt waits for its connection.
     Connecting,
@@ -20,6 +20,9 @@
     Writing,
     /// The whole request may have been written: the backend may run it.
     Written,
+    /// A successful answer has begun that can be passed on as it comes. It belongs to the client: the attempt no longer
+    /// times out.
+    Answering,
 }
 
 /// Identifies an attempt: its request and its index among the attempts of that request.
@@ -40,6 +43,8 @@
     pub send_by: Option<Millis>,
     /// How far the attempt has come; kept up to date by the front.
     pub stage: Rc<Cell<Stage>>,
+    /// Notified when an attempt at [`Stage::Answering`] would time out: the front passes its answer on from now on.
+    pub pass_on: Rc<Notify>,
     /// Resolves once the attempt is cancelled or timed out. Its end has been reported by then, so the front
     /// stops without calling [`Attempts::finish`].
     pub cancelled: oneshot::Receiver<()>,
@@ -56,6 +61,7 @@
 struct Running {
     backend: BackendId,
     stage: Rc<Cell<Stage>>,
+    pass_on: Rc<Notify>,
     /// Dropped with this entry, which resolves [`Job::cancelled`].
     _cancel_on_drop: oneshot::Sender<()>,
 }
@@ -116,12 +122,21 @@
                     let id = (request, attempt);
                     let stage = Rc::new(Cell::new(Stage::Connecting));
                     let (cancel, cancelled) = oneshot::channel();
-                    let running = Running { backend, stage: stage.clone(), _cancel_on_drop: cancel };
+                    let pass_on = Rc::<Notify>::default();
+                    let running = Running {
+                        backend,
+                        stage: stage.clone(),
+                        pass_on: pass_on.clone(),
+                        _cancel_on_drop: cancel,
+                    };
                     self.running.borrow_mut().insert(id, running);
-                    start(backend, Job { id, question, timeout, send_by, stage, cancelled });
+                    start(backend, Job { id, question, timeout, send_by, stage, pass_on, cancelled });
                 }
                 ClientSideCommand::GiveUp(request, attempt, outcome) => {
-                    self.cancel((request, attempt), outcome)
+                    let id = (request, attempt);
+                    if outcome != Outcome::TimedOut || !self.pass_on(id) {
+                        self.cancel(id, outcome);
+                    }
                 }
                 ClientSideCommand::Withdraw(request, attempt) => {
                     let id = (request, attempt);
@@ -168,11 +183,21 @@
         }));
     }
 
+    /// Has the answer of an attempt passed on as it comes. Returns `false` if it has not begun.
+    fn pass_on(&self, id: AttemptId) -> bool {
+        let running = self.running.borrow();
+        let Some(running) = running.get(&id).filter(|r| r.stage.get() == Stage::Answering) else {
+            return false;
+        };
+        running.pass_on.notify_one();
+        true
+    }
+
     fn cancel(&self, id: AttemptId, outcome: Outcome) {
         let Some(running) = self.running.borrow_mut().remove(&id) else { return };
         // A request that was not written to its last byte has not run, so its time-out counts as a failed
         // connection.
-        let unwritten = running.stage.get() != Stage::Written && outcome == Outcome::TimedOut;
+        let unwritten = running.stage.get() < Stage::Written && outcome == Outcome::TimedOut;
         self.report(id, AttemptResult::failed(if unwritten { Outcome::ConnectFailed } else { outcome }));
     }
 
--- a/src/net/client_side/answer.rs
+++ b/src/net/client_side/answer.rs
@@ -42,7 +42,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        CarriedJob { id, question, .. }: &CarriedJob<'_>,
+        CarriedJob { id, question, stage, pass_on, .. }: &CarriedJob<'_>,
         began_early: bool,
     ) -> CarryResult {
         let mut reservation = self.budget.reserve();
@@ -56,6 +56,9 @@
         }
         let decoder = if question.expects_no_body { BodyDecoder::empty() } else { BodyDecoder::new(&head) };
         let mut body = PartialBody::with_decoder(decoder, head.body_length());
+        if head.status() == 200 && (body.is_announced_long() || head.body_length().is_none()) {
+            stage.set(Stage::Answering);
+        }
         let mut length_wait = std::pin::pin!(self.deadlines.sleep(UNKNOWN_LENGTH_WAIT));
         let mut waited = false;
         loop {
@@ -64,14 +67,16 @@
                 let answer = body.decoded.freeze();
                 return evaluate_answer(&head, answer, reservation, buffer.is_empty(), &self.site);
             }
-            let waited_for_length = waited && head.body_length().is_none() && !body.decoded.is_empty();
-            if fits && !body.is_long() && !waited_for_length {
+            let waited_for_length = waited && head.body_length().is_none();
+            let has_begun = !body.decoded.is_empty() && (waited_for_length || body.is_announced_long());
+            if fits && !body.is_long() && !has_begun {
                 let more = tokio::select! {
                     more = body.read(stream, buffer, &mut reservation) => more,
                     () = &mut length_wait, if !waited => {
                         waited = true;
                         continue;
                     }
+                    () = pass_on.notified() => None,
                 };
                 match more {
                     None => fits = false,
--- a/src/net/client_side/mod.rs
+++ b/src/net/client_side/mod.rs
@@ -27,7 +27,7 @@
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use write::{UploadWriter, WriteProgress, request_head};
 
@@ -243,6 +243,7 @@
     timeout: Millis,
     send_by: Option<Millis>,
     stage: &'a Cell<Stage>,
+    pass_on: &'a Notify,
 }
 
 /// The result of an attempt, and whether its connection can be used again.
@@ -293,8 +294,8 @@
     loop {
         next_step = match next_step {
             NextStep::Carry(mut job) => {
-                let Job { id, ref question, timeout, send_by, ref stage, .. } = job;
-                let carried = CarriedJob { id, question, timeout, send_by, stage };
+                let Job { id, ref question, timeout, send_by, ref stage, ref pass_on, .. } = job;
+                let carried = CarriedJob { id, question, timeout, send_by, stage, pass_on };
                 let (result, reusable) = tokio::select! {
                     biased;
                     _ = &mut job.cancelled => return,
--- a/src/net/partial_body.rs
+++ b/src/net/partial_body.rs
@@ -33,10 +33,15 @@
         self.decoder.is_done() && self.decoded.len() <= MAX_BUFFERED_BODY_BYTES
     }
 
+    /// Returns whether the announced length of the body is over what is read whole.
+    pub fn is_announced_long(&self) -> bool {
+        self.length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES)
+    }
+
     /// Returns whether the body is forwarded in pieces, and its first piece has been read.
     pub fn is_long(&self) -> bool {
-        let announced = self.length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES);
-        self.decoded.len() > MAX_BUFFERED_BODY_BYTES || announced && self.decoded.len() >= MAX_PIECE_BYTES
+        let first_piece = self.decoded.len() >= MAX_PIECE_BYTES;
+        self.decoded.len() > MAX_BUFFERED_BODY_BYTES || self.is_announced_long() && first_piece
     }
 
     /// Decodes what has been received. Returns `false` if there is no memory for more.
