Count a long request's time from when its client wrote the last byte

Callers whose backend read a 12 MB request at 1 or 2 MB/s got the final answer 3.0 to 3.3 s after their last byte although they had 2 s (4.4 s in the test).

Cause: the deadlines started when the ingress read the last byte. It reads only as fast as the backend does, and several MB wait in the system's buffers behind that, so the start was late by the time that they took to drain. Now the upload keeps samples of how far the client had written at least (what was read, and what is unread in the socket). The client may have written its last byte as soon as the rest fits into its own system's buffers (4 MiB, the most that Linux chooses), unless the process has waited for it since: then it had not. From that time the deadlines run, and they stop again when the process has to wait for the client. A chunked body has no known end and is read ahead, as far as the budget allows, to find it.

Class: a time measured from when the process noticed, not from when the peer acted. Open: a client whose system buffers less may be answered early, by what 4 MiB take; a chunked body whose end lies beyond what may be read ahead is answered when its end is read.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -6,8 +6,8 @@
 use crate::deadlines::{DeadlineKey, Deadlines, Expiry};
 use crate::entries::BackendList;
 use crate::exchange::{
-    AttemptReport, BackendStatus, ClientSideCommand, CounterCall, EngineEvent, EngineState, FinalAnswer,
-    Operation,
+    AttemptReport, BackendStatus, BodyProgress, ClientSideCommand, CounterCall, EngineEvent, EngineState,
+    FinalAnswer, Operation,
 };
 use crate::interface::*;
 use crate::maintenance::Maintenance;
@@ -282,7 +282,7 @@
                     indexes.for_each(|index| self.command(ClientSideCommand::Withdraw(id, index)));
                 }
             }
-            EngineEvent::BodyReceived(id, max_time) => self.body_received(id, max_time),
+            EngineEvent::BodyProgress(id, progress) => self.body_progressed(id, progress),
             EngineEvent::AnswerStarted(id, index, answer) => self.answer_started((id, index), answer),
             EngineEvent::AttemptEnded(report) => self.attempt_ended(report),
             EngineEvent::BackendList(list) => {
@@ -480,19 +480,30 @@
         Some(client)
     }
 
-    /// Starts a request's deadlines, as its body is complete. None is later than `max_time` milliseconds from
-    /// now.
-    fn body_received(&mut self, id: RequestId, max_time: Millis) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(time_left) = request.timeout_after_body.take() else { return };
-        let [attempts_time, answer_time] = time_limits(time_left.min(max_time));
+    /// Starts a request's deadlines when its client has written its last byte, or may have, and stops them if it turns
+    /// out that it has not.
+    fn body_progressed(&mut self, id: RequestId, progress: BodyProgress) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id).filter(|request| request.client.is_some()) else {
+            return;
+        };
+        let Some(timeout) = request.timeout_after_body else { return };
+        let [attempts_end, answer_at] = match progress {
+            BodyProgress::Pending => time_limits(MAX_UPLOAD_TIME).map(|limit| now + limit),
+            BodyProgress::MayBeWritten(written) | BodyProgress::Received(written) => {
+                time_limits(timeout.min(now - written.at + written.max_time)).map(|limit| written.at + limit)
+            }
+        };
+        if matches!(progress, BodyProgress::Received(_)) {
+            request.timeout_after_body = None;
+        }
         self.deadlines.remove(request.answer_deadline);
-        request.answer_deadline = self.deadlines.add(self.now + answer_time, Expiry::Request(id));
-        request.attempts_end = self.now + attempts_time;
+        request.answer_deadline = self.deadlines.add(answer_at, Expiry::Request(id));
+        request.attempts_end = attempts_end;
         for attempt in &mut request.in_flight {
             self.deadlines.remove(attempt.deadline);
-            attempt.deadline = self.deadlines.add(request.attempts_end, Expiry::Attempt(id, attempt.index));
-            attempt.sent_at = self.now;
+            attempt.deadline = self.deadlines.add(attempts_end, Expiry::Attempt(id, attempt.index));
+            attempt.sent_at = now;
         }
     }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -80,6 +80,26 @@
     pub answer: Option<A>,
 }
 
+/// What is known of the body of a request that is still being received.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum BodyProgress {
+    /// The client has not written its last byte.
+    Pending,
+    /// The client may have written its last byte, which has not been received.
+    MayBeWritten(Written),
+    /// The last byte has been received.
+    Received(Written),
+}
+
+/// When the client of a request wrote the last byte of its body, and what follows for its final answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Written {
+    /// The earliest time at which it may have done so, in Unix milliseconds. Its timeout runs from then.
+    pub at: Millis,
+    /// The final answer is due within this time from now, in milliseconds, whatever the client's timeout.
+    pub max_time: Millis,
+}
+
 /// An event for the engine.
 #[derive(Debug)]
 pub enum EngineEvent<Q, A> {
@@ -87,9 +107,8 @@
     RequestArrived(RequestId, RequestInfo, Q, oneshot::Sender<FinalAnswer<A>>),
     /// The client of a request has left without waiting for the answer.
     ClientLeft(RequestId),
-    /// The last byte of a request's body has been received. Its final answer is due within this time, in
-    /// milliseconds, or within the timeout of its client if that is shorter.
-    BodyReceived(RequestId, Millis),
+    /// What is known of the body of a request that is still being received.
+    BodyProgress(RequestId, BodyProgress),
     /// The answer of an attempt has begun to arrive. It is the request's final answer, however the attempt
     /// ends.
     AnswerStarted(RequestId, AttemptIndex, A),
@@ -248,10 +267,23 @@
 }
 
 impl<Q, A> PendingAnswer<Q, A> {
-    /// Reports that the last byte of the request's body has been received. The client is answered after at
-    /// most `max_time` milliseconds, however long it would wait.
-    pub fn body_received(&self, max_time: Millis) {
-        self.exchange.send(EngineEvent::BodyReceived(self.id, max_time));
+    /// Returns a handle that reports the progress of the request's body.
+    pub fn body_reporter(&self) -> BodyReporter<Q, A> {
+        BodyReporter { exchange: self.exchange.clone(), id: self.id }
+    }
+}
+
+/// Reports the progress of the body of a submitted request.
+#[derive(Debug)]
+pub struct BodyReporter<Q, A> {
+    exchange: Exchange<Q, A>,
+    id: RequestId,
+}
+
+impl<Q, A> BodyReporter<Q, A> {
+    /// Reports the progress of the body.
+    pub fn report(&self, progress: BodyProgress) {
+        self.exchange.send(EngineEvent::BodyProgress(self.id, progress));
     }
 }
 
--- a/src/net/server_side/connection.rs
+++ b/src/net/server_side/connection.rs
@@ -2,7 +2,7 @@
 
 use super::message::{ErrorAnswer, Message, Step, TOO_SLOW, close_reason};
 use super::response::{insert_keep_alive, put_served_head, put_text_answer, strip_body};
-use super::upload::UploadResult;
+use super::upload::{Upload, UploadResult};
 use super::{ConnectionHandover, Drain, MAX_READ_AHEAD_BYTES, ParsedRequest, Phase, Role, Shared, Signals};
 use crate::exchange::FinalAnswer;
 use crate::interface::Millis;
@@ -397,7 +397,9 @@
                 let mut pending = shared.exchange.submit(info, question);
                 let (mut early, mut unread) = (None, None);
                 if let Some((mut body, sender)) = upload {
-                    let upload = self.forward_body(stream, buffer, reservation, (&mut body, read), sender);
+                    let reporter = pending.body_reporter();
+                    let upload = Upload::new(&mut body, head.body_length(), read, sender);
+                    let upload = self.forward_body(stream, buffer, reservation, upload, reporter);
                     let result = tokio::select! {
                         biased;
                         final_answer = &mut pending => {
@@ -414,7 +416,6 @@
                         UploadResult::ClientLeft => return None,
                     }
                     reservation.hold(buffer.capacity());
-                    pending.body_received(shared.drain_time_left());
                     unread = early.is_some().then_some(body);
                 }
                 let final_answer = match early {
--- a/src/net/server_side/mod.rs
+++ b/src/net/server_side/mod.rs
@@ -7,6 +7,7 @@
 mod message;
 mod response;
 mod upload;
+mod write_time;
 
 pub use response::retry_after_seconds;
 
--- a/src/net/server_side/upload.rs
+++ b/src/net/server_side/upload.rs
@@ -3,13 +3,16 @@
 use super::ParsedRequest;
 use super::connection::Connection;
 use super::message::{ErrorAnswer, TOO_SLOW, error_answer};
+use super::write_time::WriteTime;
 use super::{MAX_READ_AHEAD_BYTES, SCRATCH_BYTES};
+use crate::exchange::{BodyProgress, BodyReporter, Written};
 use crate::interface::Millis;
 use crate::net::body_channel::BodyPiece;
 use crate::net::budget::{MAX_PIECE_BYTES, Reservation};
+use crate::net::client_side::{Answer, Question};
 use crate::net::http::{BodyDecoder, Head, ParseError};
 use crate::net::server_side::Drain;
-use crate::net::stream::{is_closed, read_piece};
+use crate::net::stream::{is_closed, read_piece, unread_bytes};
 use bytes::{Bytes, BytesMut};
 use std::collections::VecDeque;
 use std::io;
@@ -43,31 +46,46 @@
     }
 
     /// Forwards the rest of a request's body to its attempt, until it is complete. If the attempt receives no
-    /// more, the rest is discarded. `read` is the number of body bytes received so far.
+    /// more, the rest is discarded. Reports when the client has written its last byte, or may have.
     pub(super) async fn forward_body(
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         reservation: &mut Reservation,
-        (body, mut read): (&mut BodyDecoder, usize),
-        pieces: mpsc::Sender<BodyPiece>,
+        mut upload: Upload<'_>,
+        reporter: BodyReporter<Question, Answer>,
     ) -> UploadResult {
         let clock = self.shared.deadlines.clock();
         let mut started = clock.now();
-        let mut upload = Upload::new(body, pieces);
+        let mut write_time = WriteTime::new(started, upload.read);
         loop {
             let piece_bytes = reservation.reserve_pieces(upload.queued_bytes);
             if let Err(error) = upload.decode_piece(buffer, piece_bytes) {
                 return UploadResult::Invalid(error_answer(error));
             }
+            let unread = unread_bytes(stream);
+            let written_at = write_time.earliest_end(upload.length.unwrap_or(upload.read));
+            if let Some(state) = upload.changed_state(written_at.filter(|_| unread > 0)) {
+                let max_time = self.shared.drain_time_left();
+                reporter.report(match state {
+                    WriteState::Pending => BodyProgress::Pending,
+                    WriteState::MayBeWritten(at) => BodyProgress::MayBeWritten(Written { at, max_time }),
+                    WriteState::Received => {
+                        let at = written_at.unwrap_or_else(|| clock.now());
+                        BodyProgress::Received(Written { at, max_time })
+                    }
+                });
+            }
             if let Some(piece) = upload.next_piece() {
                 let (before, is_end) = (clock.now(), piece == BodyPiece::End);
-                match self.send_piece(stream, buffer, reservation, &mut upload, piece, &mut read).await {
+                let sending =
+                    self.send_piece(stream, buffer, reservation, &mut upload, &mut write_time, piece);
+                match sending.await {
                     // An attempt whose body has a known length reads no `End`, and may have dropped its
                     // receiver.
                     SendResult::Sent | SendResult::ReceiverClosed if is_end => return UploadResult::Complete,
-                    // The rest is read all the same: the request's deadlines start with its last byte, and the
-                    // end of the client's stream is only seen behind what it sent.
+                    // The rest is read all the same: the end of the client's stream is only seen behind what it
+                    // sent.
                     SendResult::Sent | SendResult::ReceiverClosed => {}
                     SendResult::ClientLeft => return UploadResult::ClientLeft,
                     SendResult::Invalid(error) => return UploadResult::Invalid(error_answer(error)),
@@ -76,12 +94,16 @@
                 started += clock.now() - before;
                 continue;
             }
-            let within = self.body_read_timeout(started, read);
+            let within = self.body_read_timeout(started, upload.read);
             match self.shared.deadlines.within(within, read_piece(stream, buffer, piece_bytes)).await {
-                Some(Ok(n)) if n > 0 => read += n,
+                Some(Ok(n)) if n > 0 => upload.read += n,
                 None => return UploadResult::Invalid(TOO_SLOW),
                 _ => return UploadResult::ClientLeft,
             }
+            match unread {
+                0 => write_time.waited(clock.now(), upload.read),
+                _ => write_time.received(clock.now(), upload.read, || unread_bytes(stream)),
+            }
         }
     }
 
@@ -95,8 +117,8 @@
         buffer: &mut BytesMut,
         reservation: &mut Reservation,
         upload: &mut Upload<'_>,
+        write_time: &mut WriteTime,
         piece: BodyPiece,
-        read: &mut usize,
     ) -> SendResult {
         let pieces = upload.pieces.clone();
         let permit = loop {
@@ -104,10 +126,11 @@
                 biased;
                 permit = pieces.reserve() => break permit,
                 more = self.read_ahead(stream, buffer, reservation, upload) => match more {
-                    Ok(Some(n)) if n > 0 => *read += n,
+                    Ok(Some(n)) if n > 0 => upload.read += n,
                     _ => return SendResult::ClientLeft,
                 },
             }
+            write_time.received(self.shared.deadlines.clock().now(), upload.read, || unread_bytes(stream));
             if let Err(error) = upload.decode_all(buffer) {
                 return SendResult::Invalid(error);
             }
@@ -122,7 +145,8 @@
     }
 
     /// Waits until more of a body has been read, and returns the number of its bytes; `None` once its client has left.
-    /// The body is read only while it waits for its first attempt, and only as far as the memory budget allows.
+    /// The body is read only while it waits for its first attempt, or if its end is not known otherwise, and only as far
+    /// as the memory budget allows.
     async fn read_ahead(
         &self,
         stream: &mut TcpStream,
@@ -131,7 +155,8 @@
         upload: &Upload<'_>,
     ) -> io::Result<Option<usize>> {
         let ahead = upload.queued_bytes + buffer.len();
-        let reads = upload.waits_for_attempt()
+        let reads = (upload.waits_for_attempt() || upload.length.is_none())
+            && !upload.body.is_done()
             && ahead <= MAX_READ_AHEAD_BYTES
             && reservation.try_resize_read_ahead(ahead + 2 * MAX_PIECE_BYTES);
         if !reads {
@@ -206,8 +231,14 @@
 }
 
 /// The rest of a request's body that is forwarded to the attempt that reads it.
-struct Upload<'a> {
+pub(super) struct Upload<'a> {
     body: &'a mut BodyDecoder,
+    /// The length of the whole body in bytes; `None` if the head does not announce it.
+    length: Option<usize>,
+    /// The number of bytes of the body that have been received, with their framing.
+    read: usize,
+    /// What was reported last.
+    state: WriteState,
     pieces: mpsc::Sender<BodyPiece>,
     /// The number of pieces sent to the channel, which buffers one that the attempt has not received.
     sent: usize,
@@ -220,8 +251,35 @@
 }
 
 impl<'a> Upload<'a> {
-    fn new(body: &'a mut BodyDecoder, pieces: mpsc::Sender<BodyPiece>) -> Self {
-        Self { body, pieces, sent: 0, queue: VecDeque::new(), queued_bytes: 0, end_queued: false }
+    /// Creates an upload of which `read` bytes have been received.
+    pub(super) fn new(
+        body: &'a mut BodyDecoder,
+        length: Option<usize>,
+        read: usize,
+        pieces: mpsc::Sender<BodyPiece>,
+    ) -> Self {
+        Self {
+            body,
+            length,
+            read,
+            state: WriteState::Pending,
+            pieces,
+            sent: 0,
+            queue: VecDeque::new(),
+            queued_bytes: 0,
+            end_queued: false,
+        }
+    }
+
+    /// Returns how far the client has written the body, if that has changed. `written_at` is the time at which it may have
+    /// written the last byte, if it may.
+    fn changed_state(&mut self, written_at: Option<Millis>) -> Option<WriteState> {
+        let state = match written_at {
+            _ if self.body.is_done() => WriteState::Received,
+            Some(at) if self.length.is_some() => WriteState::MayBeWritten(at),
+            _ => WriteState::Pending,
+        };
+        (std::mem::replace(&mut self.state, state) != state).then_some(state)
     }
 
     /// Returns whether, as far as is known, no attempt has received any of the body.
@@ -273,6 +331,17 @@
     }
 }
 
+/// How far the client has written a body.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum WriteState {
+    /// Not to its end.
+    Pending,
+    /// Its last byte may have been written at this time, but has not been received.
+    MayBeWritten(Millis),
+    /// Its last byte has been received.
+    Received,
+}
+
 /// The result of sending a piece of a body.
 enum SendResult {
     /// The piece is in the channel.
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -75,6 +75,11 @@
     SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|n| n > 0)
 }
 
+/// Returns the number of received bytes that are unread.
+pub fn unread_bytes(stream: &TcpStream) -> usize {
+    rustix::io::ioctl_fionread(stream).map_or(0, |bytes| usize::try_from(bytes).unwrap_or(0))
+}
+
 /// Returns whether the peer has closed the connection, or it has failed, and no unread bytes precede that.
 /// Asks the system, as the runtime may not have seen it yet.
 pub fn is_closed(stream: &TcpStream) -> bool {
--- a/tests/socket_races.rs
+++ b/tests/socket_races.rs
@@ -345,10 +345,14 @@
 /// The departure of a client must be noticed within this time: no attempt for it begins later.
 const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Checks that the next event is the departure of a client, within `DEPARTURE_TIMEOUT`.
+/// Checks that the next event, apart from the progress of its body, is the departure of a client, within
+/// `DEPARTURE_TIMEOUT`.
 async fn assert_client_left(side: &mut ServerSideFixture) {
     let since = ThreadTimer::start();
-    let event = side.events.recv().await.unwrap();
+    let mut event = side.events.recv().await.unwrap();
+    while matches!(event, EngineEvent::BodyProgress(..)) {
+        event = side.events.recv().await.unwrap();
+    }
     assert!(matches!(event, EngineEvent::ClientLeft(_)), "{event:?}");
     assert!(since.elapsed() < DEPARTURE_TIMEOUT, "noticed after {:?}", since.elapsed());
 }
