Send a request that comes again no further than its class permits

Callers saw an id run twice: a keyed request whose client had left came again on a new connection, or at the next process of an upgrade, and ran in a second cell, whose backends do not know the key.

Cause: what may have run was known only within one open request. When its client left, the request was forgotten with the end of its attempt, and a request of the same id was a new one, free to go to any cell. Only an id that was still open was answered 409.

A request that comes again goes only where the class lets a further attempt go: to the same cell or zone within the window, and nowhere after it or if the class is unsafe (502). It is not answered 429 where that would promise that nothing ran. The memory is part of the state that passes to the next process (layout limiter4).

Class: knowledge that lives as long as the connection, not as long as what it is about.

--- a/emulator/src/world/clients.rs
+++ b/emulator/src/world/clients.rs
@@ -343,6 +343,7 @@
             spread: customer.spread,
             first_ingress: IngressId(customer.first_ingress),
             is_retry: false,
+            identity: None,
         };
         self.ingresses[ingress].try_counts.arrived += 1;
         let before = self.ingresses[ingress].decisions.view(EPOCH_MS + self.now);
--- a/load/src/model.rs
+++ b/load/src/model.rs
@@ -608,6 +608,7 @@
                 self.workload.first_ingress(request.arrival.customer, ingress_count) as u16
             ),
             is_retry: request.try_number > 1,
+            identity: None,
         };
         self.feed(ingress_index, Event::Request(request));
     }
--- a/src/bin/weldhub-adapter/tests.rs
+++ b/src/bin/weldhub-adapter/tests.rs
@@ -70,6 +70,7 @@
         spread: 3,
         first_ingress: IngressId(1),
         is_retry: false,
+        identity: None,
     };
     assert_eq!(next(), Record::Event(Event::Request(request)));
     assert_eq!(next(), Record::Event(Event::Timer(TimerKey(77))));
--- a/src/bin/weldhub-adapter/wire.rs
+++ b/src/bin/weldhub-adapter/wire.rs
@@ -225,6 +225,7 @@
                     spread,
                     first_ingress,
                     is_retry,
+                    identity: None,
                 })
             }
             record_code::STREAM_STARTED => {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -267,6 +267,7 @@
                     spread: info.spread,
                     first_ingress: info.first_ingress,
                     is_retry: info.is_retry,
+                    identity: info.identity,
                 }));
             }
             EngineEvent::ClientLeft(id) => {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -32,6 +32,8 @@
     pub first_ingress: IngressId,
     /// Whether the client marks the request as a retry.
     pub is_retry: bool,
+    /// What identifies the request at its client, however often it comes; `None` if nothing does.
+    pub identity: Option<u64>,
     /// Whether the body is still being received. If so, `time_left` runs from its last byte, and the request
     /// can be sent only once.
     pub body_pending: bool,
--- a/src/fronts/ext_authz/mod.rs
+++ b/src/fronts/ext_authz/mod.rs
@@ -85,6 +85,7 @@
             spread,
             first_ingress: IngressId(first),
             is_retry: false,
+            identity: None,
             body_pending: false,
         })
     }
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -7,6 +7,7 @@
 use crate::net::http::Head;
 use crate::net::server_side::ParsedRequest;
 use bytes::{BufMut, Bytes, BytesMut};
+use std::hash::{DefaultHasher, Hasher};
 
 /// The longest `Request-Id` or `Idempotency-Key` that is accepted, in bytes.
 const MAX_NAME_BYTES: usize = 128;
@@ -76,6 +77,7 @@
         spread,
         first_ingress: IngressId(first),
         is_retry: head.get("client-retry") == Some(b"1"),
+        identity: (!safe).then(|| identity_of(id)),
         body_pending: !complete,
     };
     let mut lines = BytesMut::with_capacity(target.len() + id.len() + key.map_or(0, <[u8]>::len) + 128);
@@ -114,6 +116,13 @@
     ))
 }
 
+/// Returns what identifies the request of this id.
+fn identity_of(id: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(id);
+    hasher.finish()
+}
+
 /// Returns whether a value can be passed on as a request id or an idempotency key.
 fn is_valid_name(value: &[u8]) -> bool {
     (1..=MAX_NAME_BYTES).contains(&value.len()) && value.iter().all(u8::is_ascii_graphic)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns whether a repeat does no harm, whichever backend it goes to.
+    pub fn allows_any_backend(&self) -> bool {
+        matches!(self, Self::Safe | Self::Keyed { scope: DedupScope::All, .. })
+    }
+
     /// Returns whether the request may be sent again when that attempt is `age` old.
     pub fn allows_after(&self, age: Millis) -> bool {
         match self {
@@ -332,6 +337,8 @@
     pub first_ingress: IngressId,
     /// The client says that this is not its first try.
     pub is_retry: bool,
+    /// What identifies it at its client, however often it comes; `None` if nothing does.
+    pub identity: Option<u64>,
 }
 
 impl Request {
@@ -368,6 +375,11 @@
     pub fn may_have_run(self) -> bool {
         matches!(self, Self::Error | Self::TimedOut | Self::Reset | Self::Cancelled)
     }
+
+    /// Returns whether the backend certainly did none of the work of an attempt.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
+    }
 }
 
 /// The load that a backend reports; `None` for what it does not report.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod pacing;
 mod peer_messages;
+mod prior_runs;
 mod prng;
 mod quota_messages;
 mod quota_pool;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -325,12 +325,13 @@
     /// Returns the backend for the next attempt of a request; `None` if none accepts it.
     fn pick_backend(&mut self, now: Millis, open: &OpenRequest) -> Option<BackendId> {
         let retry_safety = self.settings.classes[open.request.class.0].retry_safety;
-        let first =
-            open.first_maybe_run.and_then(|i| self.backends.get(&open.attempts[i].backend)).map(|b| b.entry);
+        let of_attempt = |i: usize| self.backends.get(&open.attempts[i].backend).map(|backend| backend.entry);
+        let prior_backend = open.prior_run.map(|run| run.backend);
+        let first = prior_backend.or_else(|| open.first_maybe_run.and_then(of_attempt));
         let in_scope =
             |id: &&BackendId| retry_safety.allows_backend(first.as_ref(), &self.backends[*id].entry);
         let allowed =
-            open.first_maybe_run.map(|_| self.ready.iter().filter(in_scope).copied().collect::<Vec<_>>());
+            open.first_run_at().map(|_| self.ready.iter().filter(in_scope).copied().collect::<Vec<_>>());
         if allowed.is_none()
             && let Some(id) = self.pick_cold(now, open)
         {
@@ -669,6 +670,11 @@
         customer.unreported_demand += request.units;
         self.unreported.insert(request.customer);
         let mut open = OpenRequest::new(request, now);
+        open.prior_run = request.identity.and_then(|identity| self.prior_runs.get(identity));
+        if !open.may_repeat(now, &self.settings.classes[request.class.0].retry_safety) {
+            actions.push(Action::Fail(request.id));
+            return;
+        }
         let evidence = if self.uses_quota_owners() {
             self.request_quota(now, &mut open, actions)
         } else {
@@ -977,7 +983,11 @@
             Some(customer) if evidence == QuotaEvidence::Granted => customer.unreported_use -= request.units,
             _ => {}
         }
-        actions.push(Action::Reject(request.id, self.retry_after(wait)));
+        let harmless = self.settings.classes[request.class.0].retry_safety.allows_any_backend();
+        actions.push(match open.prior_run {
+            Some(_) if !harmless => Action::Fail(request.id),
+            _ => Action::Reject(request.id, self.retry_after(wait)),
+        });
     }
 
     /// Sends an attempt of a request and returns whether a backend was found.
@@ -1007,6 +1017,9 @@
         let send_within = open.send_within(now, &class.retry_safety);
         let index = AttemptIndex(u16::try_from(open.attempts.len()).unwrap_or(u16::MAX));
         let units = open.request.units;
+        if let (Some(identity), Some(backend)) = (open.request.identity, self.backends.get(&id)) {
+            self.prior_runs.record(identity, (open.request.id, index), backend.entry, now);
+        }
         if let Some(backend) = self.backends.get_mut(&id) {
             backend.in_flight.insert((open.request.id, index), (now, units, expected));
         }
@@ -1044,6 +1057,9 @@
             customer.record_usage(now, request.units, &end, plan.rate, DEMAND_TAU);
         }
         self.record_outcome(now, &request, &end);
+        if let Some(identity) = request.identity.filter(|_| end.outcome.never_ran()) {
+            self.prior_runs.never_ran(identity, (request.id, end.attempt));
+        }
         if end.outcome.may_have_run() && open.first_maybe_run.is_none_or(|first| index < first) {
             open.first_maybe_run = Some(index);
         }
@@ -1056,9 +1072,7 @@
             return self.release_grant(&open, actions);
         }
         let retry_safety = self.settings.classes[request.class.0].retry_safety;
-        let allowed = open
-            .first_maybe_run
-            .is_none_or(|first| retry_safety.allows_after(now + 1.0 - open.attempts[first].sent_at));
+        let allowed = open.may_repeat(now, &retry_safety);
         let has_time = open.deadline - now > self.expected_latency(request.class, request.units) / 2.0;
         let may_retry =
             open.attempts.len() < usize::from(self.settings.max_attempts) && self.retry_budget >= 1.0;
@@ -1069,9 +1083,8 @@
         }
         self.release_grant(&open, actions);
         // A rejection promises that nothing ran, or that a repeat does no harm.
-        let harmless =
-            matches!(retry_safety, RetrySafety::Safe | RetrySafety::Keyed { scope: DedupScope::All, .. });
-        let reject = open.first_maybe_run.is_none() || (harmless && open.deadline > now && allowed);
+        let reject = open.first_run_at().is_none()
+            || (retry_safety.allows_any_backend() && open.deadline > now && allowed);
         let retry_after = self.retry_after(self.mean_latency(request.class));
         actions.push(if reject { Action::Reject(request.id, retry_after) } else { Action::Fail(request.id) });
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use crate::peer_messages::{QuotaRequest, encode_report_line, quarters};
+use crate::prior_runs::{PriorRun, PriorRuns};
 use crate::prng::Prng;
 use crate::quota_pool::PoolAccount;
 use crate::ramp::{SlowStart, WarmBackends};
@@ -20,7 +21,7 @@
 
 /// Precedes the state that is handed over, whose encoding is not self-describing. It changes with every
 /// change of the types that a limiter holds.
-const STATE_LAYOUT: &[u8] = b"limiter3";
+const STATE_LAYOUT: &[u8] = b"limiter4";
 
 /// Admission control and scheduling of one ingress. Its decisions are in `src/rules.rs`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -59,6 +60,8 @@
     pub(crate) last_quota_seq: u64,
     /// Requests that are held or have attempts in flight.
     pub(crate) requests: BTreeMap<RequestId, OpenRequest>,
+    /// Requests that may have run and must not be sent at will if they come again.
+    pub(crate) prior_runs: PriorRuns,
     /// Customers seen lately.
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
     /// Customers with changes that were not sent to the peers or the counter yet.
@@ -140,6 +143,7 @@
             owned_quotas: BTreeMap::new(),
             pending_quota_requests: BTreeMap::new(),
             requests: BTreeMap::new(),
+            prior_runs: PriorRuns::default(),
             customers: BTreeMap::new(),
             unreported: BTreeSet::new(),
             pool_customers: BTreeSet::new(),
@@ -771,6 +775,8 @@
     pub(crate) attempts: Vec<Attempt>,
     /// Index of the first attempt that failed and may have run.
     pub(crate) first_maybe_run: Option<usize>,
+    /// An attempt that may have run for the same request when it came before.
+    pub(crate) prior_run: Option<PriorRun>,
     /// No answer is owed any more.
     pub(crate) closed: bool,
     /// A counter total included it.
@@ -1015,15 +1021,27 @@
             deadline,
             attempts,
             first_maybe_run: None,
+            prior_run: None,
             closed: false,
             grant: None,
             counted: false,
         }
     }
 
+    /// Returns when the first attempt was sent that may have run; `None` if none may have.
+    pub(crate) fn first_run_at(&self) -> Option<Millis> {
+        let earlier = self.prior_run.map(|run| run.sent_at);
+        earlier.or_else(|| Some(self.attempts[self.first_maybe_run?].sent_at))
+    }
+
+    /// Returns whether the request may be sent now, after an attempt that may have run.
+    pub(crate) fn may_repeat(&self, now: Millis, retry_safety: &RetrySafety) -> bool {
+        self.first_run_at().is_none_or(|sent_at| retry_safety.allows_after(now + 1.0 - sent_at))
+    }
+
     /// Returns the time within which a further attempt must be sent, if one that may have run limits it.
     pub(crate) fn send_within(&self, now: Millis, retry_safety: &RetrySafety) -> Option<Millis> {
-        retry_safety.time_left(now + 1.0 - self.attempts[self.first_maybe_run?].sent_at)
+        retry_safety.time_left(now + 1.0 - self.first_run_at()?)
     }
 }
 
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -176,6 +176,7 @@
             spread: INGRESSES,
             first_ingress: IngressId(0),
             is_retry: false,
+            identity: None,
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -140,6 +140,7 @@
             spread,
             first_ingress: IngressId(0),
             is_retry: false,
+            identity: None,
         }));
         (id, actions)
     }
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -97,8 +97,18 @@
         self.last_request += 1;
         let (id, time_left, units, first_ingress) = (RequestId(self.last_request), 2000.0, 1.0, IngressId(0));
         let (class, plan, customer, spread) = (ClassId(SAFE), PlanId(0), CustomerId(customer), INGRESSES);
-        let request =
-            Request { id, class, plan, customer, time_left, units, spread, first_ingress, is_retry: false };
+        let request = Request {
+            id,
+            class,
+            plan,
+            customer,
+            time_left,
+            units,
+            spread,
+            first_ingress,
+            is_retry: false,
+            identity: None,
+        };
         let actions = self.handle(ingress, Event::Request(request));
         let Some(backend) = sent_to(&actions) else { return false };
         let end = AttemptEnd {
@@ -301,8 +311,18 @@
         );
         let (id, class, plan, customer) = (RequestId(1), ClassId(SAFE), PlanId(0), CustomerId(1));
         let (time_left, units, spread, first_ingress) = (2000.0, 1.0, 1, IngressId(0));
-        let request =
-            Request { id, class, plan, customer, time_left, units, spread, first_ingress, is_retry: false };
+        let request = Request {
+            id,
+            class,
+            plan,
+            customer,
+            time_left,
+            units,
+            spread,
+            first_ingress,
+            is_retry: false,
+            identity: None,
+        };
         let mut actions = Vec::new();
         limiter.handle(1.0, Event::Request(request), &mut actions);
         hits[(sent_to(&actions).unwrap().0 % 2) as usize] += 1.0;
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -83,6 +83,7 @@
                 spread: 2,
                 first_ingress,
                 is_retry: false,
+                identity: None,
                 body_pending: false,
             },
             (),
--- a/tests/many_ingresses.rs
+++ b/tests/many_ingresses.rs
@@ -89,6 +89,7 @@
             spread: INGRESSES,
             first_ingress: IngressId(0),
             is_retry: false,
+            identity: None,
         };
         (request.id, self.handle(ingress, Event::Request(request)))
     }
@@ -444,8 +445,18 @@
         let (time_left, units, spread, first_ingress, is_retry) =
             (2000.0, 1.0, INGRESSES, IngressId(0), false);
         let mut actions = Vec::new();
-        let request =
-            Request { id, class, plan, customer, time_left, units, spread, first_ingress, is_retry };
+        let request = Request {
+            id,
+            class,
+            plan,
+            customer,
+            time_left,
+            units,
+            spread,
+            first_ingress,
+            is_retry,
+            identity: None,
+        };
         limiter.handle(1e6, Event::Request(request), &mut actions);
         sent_to(&actions).is_some()
     });
--- a/tests/quota_pool.rs
+++ b/tests/quota_pool.rs
@@ -135,8 +135,18 @@
         let (id, time_left, spread, first_ingress) =
             (RequestId(self.last_request), 2000.0, self.ingress_count(), IngressId(0));
         let (class, plan, customer) = (ClassId(SAFE), PlanId(0), CustomerId(1));
-        let request =
-            Request { id, class, plan, customer, time_left, units, spread, first_ingress, is_retry: false };
+        let request = Request {
+            id,
+            class,
+            plan,
+            customer,
+            time_left,
+            units,
+            spread,
+            first_ingress,
+            is_retry: false,
+            identity: None,
+        };
         let actions = self.handle(ingress, Event::Request(request));
         let Some(backend) = sent_to(&actions) else { return false };
         self.handle(ingress, Event::AttemptEnded(attempt_end(id, 0, backend, Outcome::Served, 20.0)));
--- a/trials/src/scale/fixture.rs
+++ b/trials/src/scale/fixture.rs
@@ -119,6 +119,7 @@
             (settings.ingress.0 + settings.ingress_count - position) % settings.ingress_count.max(1),
         ),
         is_retry: false,
+        identity: None,
     }
 }
 
