Know a backend's process by its start and its listing, not by its address alone

Callers saw work go to the wrong place or run twice when a new process came up at the address of one that had gone.

Cause: pools, waiting attempts and resting connections were matched by address. Now an address belongs to the backend that the list told of last: an older one at the same address counts as gone until its entry changes or the newer one goes (backends that one list tells of together share an address, as before). Pools, attempts that wait for a connection, and connections that come back after an answer are matched by address and start.

Class: identity by address. Related paths: members of the fleet are known by name, number and start; connections that pass in an upgrade are still matched by address, since their frame carries no start (open); a process that comes up at an address before the list tells of it cannot be told apart (open).

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -2,6 +2,7 @@
 //! returns. It knows no wire protocol. It ensures that every request gets exactly one final answer, before
 //! its deadline.
 
+use crate::backends::address_owners::AddressOwners;
 use crate::cluster::notices::{LocalNotice, Subject};
 use crate::deadlines::{DeadlineKey, Deadlines, Expiry};
 use crate::entries::BackendList;
@@ -119,6 +120,7 @@
 pub struct Engine<Q, A> {
     limiter: Limiter,
     maintenance: Maintenance,
+    address_owners: AddressOwners,
     /// The subset of the list that this ingress uses, or `None` if it uses the whole list.
     subset: Option<Subset>,
     deadlines: Deadlines,
@@ -159,6 +161,7 @@
         Self {
             limiter,
             maintenance,
+            address_owners: AddressOwners::default(),
             subset: None,
             deadlines,
             events,
@@ -354,7 +357,8 @@
             Err(why) => warn!(self.log, "what the old process knew was passed over"; "why" => why),
         }
         if !self.list_received && !state.list.entries.is_empty() {
-            self.maintenance.apply_list(state.list);
+            let list = self.address_owners.apply_list(state.list);
+            self.maintenance.apply_list(list);
         }
         let mut list = self.maintenance.discovered_list();
         if !list.entries.is_empty() {
@@ -392,6 +396,7 @@
 
     /// Applies a list from discovery, without the backends that operators have disabled.
     fn apply_list(&mut self, list: BackendList, kind: ListKind) {
+        let list = self.address_owners.apply_list(list);
         let list = self.maintenance.apply_list(list);
         self.apply_change(list, kind);
     }
--- a/src/fronts/ext_authz/authorisers.rs
+++ b/src/fronts/ext_authz/authorisers.rs
@@ -120,7 +120,7 @@
             .pools
             .borrow()
             .get(&authoriser)
-            .map(|pool| (pool.address, pool.connections.clone()));
+            .map(|pool| (pool.process.address, pool.connections.clone()));
         let Some((address, connection)) = pool else { return AttemptResult::failed(Outcome::ConnectFailed) };
         if connection.in_flight.get() >= MAX_CONCURRENT_CHECKS {
             return AttemptResult::failed(Outcome::Rejected);
--- a/src/net/attempts.rs
+++ b/src/net/attempts.rs
@@ -57,9 +57,20 @@
     }
 }
 
+/// What tells a process of a backend from another one, before it or elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BackendProcess {
+    /// The address that it listens at.
+    pub address: SocketAddr,
+    /// When it started, as the list says.
+    pub last_start: Option<Millis>,
+}
+
 #[derive(Debug)]
 struct Running {
     backend: BackendId,
+    /// The process that it goes to; `None` if the backend was not ready.
+    process: Option<BackendProcess>,
     stage: Rc<Cell<Stage>>,
     pass_on: Rc<Notify>,
     /// Dropped with this entry, which resolves [`Job::cancelled`].
@@ -69,9 +80,8 @@
 /// A ready backend, with the connections that a front has to it.
 #[derive(Debug)]
 pub struct Pool<C> {
-    /// The address that the backend listens at.
-    pub address: SocketAddr,
-    last_start: Option<Millis>,
+    /// The process of the backend.
+    pub process: BackendProcess,
     /// The front's connections.
     pub connections: C,
 }
@@ -125,6 +135,7 @@
                     let pass_on = Rc::<Notify>::default();
                     let running = Running {
                         backend,
+                        process: self.pools.borrow().get(&backend).map(|pool| pool.process),
                         stage: stage.clone(),
                         pass_on: pass_on.clone(),
                         _cancel_on_drop: cancel,
@@ -209,25 +220,26 @@
         for e in &list.entries {
             let (backend, last_start) = (e.entry.backend, e.entry.last_start);
             match e.address.filter(|_| e.entry.state == BackendState::Ready) {
-                Some(address)
-                    if pools
-                        .get(&backend)
-                        .is_some_and(|p| (p.address, p.last_start) == (address, last_start)) => {}
-                // A backend that moved or restarted no longer has any of the connections.
                 Some(address) => {
-                    drop(pools.insert(backend, Pool { address, last_start, connections: C::default() }))
+                    let process = BackendProcess { address, last_start };
+                    // A backend that moved or restarted no longer has any of the connections.
+                    if pools.get(&backend).is_none_or(|pool| pool.process != process) {
+                        pools.insert(backend, Pool { process, connections: C::default() });
+                    }
                 }
                 None => drop(pools.remove(&backend)),
             }
         }
-        // Prevents attempts that still wait for a connection from starting on a drained backend.
-        let mut drained: Vec<AttemptId> = Vec::new();
+        // Prevents attempts that still wait for a connection from starting on a drained backend, or on a process that
+        // has taken over the address.
+        let mut outdated: Vec<AttemptId> = Vec::new();
         for (id, running) in self.running.borrow().iter() {
-            if running.stage.get() == Stage::Connecting && !pools.contains_key(&running.backend) {
-                drained.push(*id);
+            let process = pools.get(&running.backend).map(|pool| pool.process);
+            if running.stage.get() == Stage::Connecting && process != running.process {
+                outdated.push(*id);
             }
         }
         drop(pools);
-        drained.into_iter().for_each(|id| self.cancel(id, Outcome::TimedOut));
+        outdated.into_iter().for_each(|id| self.cancel(id, Outcome::TimedOut));
     }
 }
--- a/src/net/client_side/mod.rs
+++ b/src/net/client_side/mod.rs
@@ -4,7 +4,7 @@
 mod answer;
 mod write;
 
-use super::attempts::{AttemptId, AttemptResult, Attempts, Job, Pool, Stage};
+use super::attempts::{AttemptId, AttemptResult, Attempts, BackendProcess, Job, Pool, Stage};
 use super::body_channel::{BodyReceiver, SingleUseBody};
 use super::budget::{MemoryBudget, PredecessorConnections, Reservation};
 use super::server_side::Role;
@@ -166,42 +166,42 @@
                 Err(returned) => job = returned,
             }
         }
-        let address = pool.address;
+        let process = pool.process;
         // Connections of the other process count against the limit, but for no more than three quarters of
         // it.
         let max_connections =
             this.max_connections - this.links.open_elsewhere.get().min(this.max_connections * 3 / 4);
         if this.links.open_connections.get() >= max_connections && !evict(&mut pools) {
-            debug!(this.log, "no descriptor for a connection to a real server"; "real_server" => %address);
+            debug!(this.log, "no descriptor for a connection to a real server"; "real_server" => %process.address);
             // Prevents the backend from being taken for unreachable or full when the limit here is the
             // reason.
             return this.attempts.finish(job.id, AttemptResult::failed(Outcome::NotSent));
         }
-        spawn_local(open_connection(OpenConnection::new(this), backend, address, job));
+        spawn_local(open_connection(OpenConnection::new(this), (backend, process), job));
     }
 
     /// Takes an idle connection over from another process. Closes it if the backend is not ready at that
     /// address.
     fn adopt(this: &Rc<Self>, backend: BackendId, stream: TcpStream) {
-        let address = this.attempts.pools.borrow().get(&backend).map(|pool| pool.address);
-        if let Some(address) = address.filter(|at| stream.peer_addr().is_ok_and(|peer| peer == *at))
-            && let Some(next_job) = this.park(backend, address, this.deadlines.clock().now())
+        let process = this.attempts.pools.borrow().get(&backend).map(|pool| pool.process);
+        let is_peer = |process: &BackendProcess| stream.peer_addr().is_ok_and(|peer| peer == process.address);
+        if let Some(process) = process.filter(is_peer)
+            && let Some(next_job) = this.park((backend, process), this.deadlines.clock().now())
         {
             let open = OpenConnection::new(this);
-            spawn_local(run_connection(open, backend, address, stream, NextStep::Wait(next_job)));
+            spawn_local(run_connection(open, (backend, process), stream, NextStep::Wait(next_job)));
         }
     }
 
     /// Puts a connection that has been idle since `idle_since` into the pool of its backend. Returns the
-    /// channel that brings its next job, or `None` if the backend is no longer ready at that address.
+    /// channel that brings its next job, or `None` if that process of the backend is no longer the ready one.
     fn park(
         &self,
-        backend: BackendId,
-        address: SocketAddr,
+        (backend, process): (BackendId, BackendProcess),
         idle_since: Millis,
     ) -> Option<oneshot::Receiver<BackendJob>> {
         let mut pools = self.attempts.pools.borrow_mut();
-        let pool = pools.get_mut(&backend).filter(|pool| pool.address == address)?;
+        let pool = pools.get_mut(&backend).filter(|pool| pool.process == process)?;
         let (next_job, coming_job) = oneshot::channel();
         pool.connections.retain(|idle| !idle.next_job.is_closed());
         let position = pool.connections.partition_point(|idle| idle.idle_since <= idle_since);
@@ -266,17 +266,21 @@
 }
 
 /// Opens a connection for its first job, and runs it.
-async fn open_connection(open: OpenConnection, backend: BackendId, address: SocketAddr, mut job: BackendJob) {
+async fn open_connection(
+    open: OpenConnection,
+    (backend, process): (BackendId, BackendProcess),
+    mut job: BackendJob,
+) {
     let side = open.0.clone();
     let timeout = job.time_left(&side.deadlines.clock()).unwrap_or(f64::INFINITY);
     let timeout = timeout.min(side.site.connect_timeout);
     let connected = tokio::select! {
         biased;
         _ = &mut job.cancelled => return,
-        connected = side.deadlines.within(timeout, connect(address)) => connected,
+        connected = side.deadlines.within(timeout, connect(process.address)) => connected,
     };
     match connected {
-        Some(Ok(stream)) => run_connection(open, backend, address, stream, NextStep::Carry(job)).await,
+        Some(Ok(stream)) => run_connection(open, (backend, process), stream, NextStep::Carry(job)).await,
         _ => side.attempts.finish(job.id, AttemptResult::failed(Outcome::ConnectFailed)),
     }
 }
@@ -284,8 +288,7 @@
 /// Runs a connection, from job to job, until it closes or is handed over.
 async fn run_connection(
     open: OpenConnection,
-    backend: BackendId,
-    address: SocketAddr,
+    (backend, process): (BackendId, BackendProcess),
     mut stream: TcpStream,
     mut next_step: NextStep,
 ) {
@@ -299,12 +302,12 @@
                 let (result, reusable) = tokio::select! {
                     biased;
                     _ = &mut job.cancelled => return,
-                    carried = side.carry(&mut stream, &mut buffer, address, &carried) => carried,
+                    carried = side.carry(&mut stream, &mut buffer, process.address, &carried) => carried,
                 };
                 let now = side.deadlines.clock().now();
                 // Prevents idle connections from holding memory.
                 buffer = BytesMut::new();
-                let next_job = if reusable { side.park(backend, address, now) } else { None };
+                let next_job = if reusable { side.park((backend, process), now) } else { None };
                 side.attempts.finish(job.id, result);
                 next_job.map_or(NextStep::Close, NextStep::Wait)
             }
