Bound what is remembered by customers' names

The decisions remember as many customers as an eighth of the memory holds, 1 KiB each, and the same bound holds for the quotas that an ingress keeps for its peers. Of those without an attempt in flight the least recently seen are forgotten, an eighth at a time. The account of a customer that is not remembered is taken to be unknown since the last forgotten one was seen, as it is after a start, so forgetting gives nobody a full bucket.

Class: state by a name that a stranger chooses, bounded in time only. Related paths: ids of requests (8,192), open ids (one a connection), operators' lists (bounded before), members of a fleet (bounded by its size).

--- a/src/config/limits.rs
+++ b/src/config/limits.rs
@@ -36,13 +36,18 @@
 /// The memory of an open connection without its message, in bytes: its task, its read buffer and its
 /// request's state.
 const CONNECTION_BYTES: usize = 16 * 1024;
-/// The fraction of the memory for incomplete messages from clients, and the same again for those from
+/// The fraction of the memory for messages from clients, and the same again for those from
 /// backends.
 const MESSAGE_SHARE: f64 = 1.0 / 8.0;
 /// The most memory of a connection to the authorisation front, in bytes: its flow-control window and a check
 /// in flight.
 const AUTHZ_CONNECTION_BYTES: usize = 2 * 80 * 1024;
 
+/// The memory of what is remembered of a customer, in bytes.
+const CUSTOMER_BYTES: usize = 1024;
+/// The fraction of the memory for customers.
+const CUSTOMER_SHARE: f64 = 1.0 / 8.0;
+
 /// The most open connections of each kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimits {
@@ -106,7 +111,12 @@
         self.connection_limits().clients.min(self.memory_bytes() / 4 / AUTHZ_CONNECTION_BYTES)
     }
 
-    /// Returns the most bytes of incomplete messages over all connections of one side (clients or backends).
+    /// Returns the most customers that are remembered.
+    pub fn max_customers(&self) -> usize {
+        (self.memory_bytes() as f64 * CUSTOMER_SHARE) as usize / CUSTOMER_BYTES
+    }
+
+    /// Returns the most bytes of messages over all connections of one side (clients or backends).
     pub fn max_message_bytes(&self) -> usize {
         (self.memory_bytes() as f64 * MESSAGE_SHARE) as usize
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 mod quota_pool;
 mod ramp;
 pub mod recovery;
+mod retention;
 pub mod rules;
 mod slow_start;
 mod state;
--- a/src/node.rs
+++ b/src/node.rs
@@ -247,6 +247,7 @@
         };
         let site = &instance.site;
         let limiter = Limiter::new(site.settings.clone(), instance.seed).map_err(io::Error::other)?;
+        let limiter = limiter.with_max_customers(instance.limits.max_customers());
         // Prevents this process's request ids from colliding with those of another process at this address.
         let (exchange, events) = Exchange::starting_at((deadlines.clock().now() as u64) << 20);
         let (commands, commands_receiver) = mpsc::unbounded_channel();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -421,7 +421,7 @@
     /// Returns the customer of a request, which is created or updated.
     fn customer_entry(&mut self, now: Millis, request: &Request) -> &mut Customer {
         let plan = self.plan(request.plan);
-        let (started, spread) = (self.started_at, request.spread.clamp(1, self.settings.ingress_count));
+        let (started, spread) = (self.unknown_since(), request.spread.clamp(1, self.settings.ingress_count));
         let (ingresses, min_slice) =
             (f64::from(spread), self.settings.max_request_units.max(1.0).min(plan.burst));
         // An unknown bucket is not assumed full. In a large fleet a slice need not hold a whole request: a
@@ -665,6 +665,7 @@
         }
         self.retry_budget = (self.retry_budget + RETRY_BUDGET_PER_REQUEST)
             .min((MAX_RETRY_BUDGET * self.small_fleet_scale()).max(1.0));
+        self.forget_excess_customers();
         let customer = self.customer_entry(now, &request);
         customer.demand.add(now, request.units, DEMAND_TAU);
         customer.unreported_demand += request.units;
@@ -750,9 +751,10 @@
         let units = request.units.clamp(0.25, self.settings.max_request_units.max(1.0));
         let drawn = drawn.max(-self.settings.max_request_units);
         let expires_at = now + self.settings.classes[request.class.0].aim;
+        self.forget_excess_quotas();
         let bucket = TokenBucket::new(
             (plan.burst * INITIAL_BUCKET_SHARE).max(self.settings.max_request_units).min(plan.burst),
-            self.started_at,
+            self.unknown_since(),
         );
         let quota = self
             .owned_quotas
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,11 @@
     pub(crate) prior_runs: PriorRuns,
     /// Customers seen lately.
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    /// The most customers that are remembered.
+    #[serde(skip)]
+    pub(crate) max_customers: usize,
+    /// When the last one was seen of the customers that were forgotten because there were too many.
+    pub(crate) forgotten_until: Millis,
     /// Customers with changes that were not sent to the peers or the counter yet.
     pub(crate) unreported: BTreeSet<CustomerId>,
     /// Customers of whose quota this ingress may lend units to the pool.
@@ -145,6 +150,8 @@
             requests: BTreeMap::new(),
             prior_runs: PriorRuns::default(),
             customers: BTreeMap::new(),
+            max_customers: usize::MAX,
+            forgotten_until: 0.0,
             unreported: BTreeSet::new(),
             pool_customers: BTreeSet::new(),
             peers: BTreeMap::new(),
@@ -230,6 +237,7 @@
             return Err("the state belongs to other settings");
         }
         (old.settings, old.handed_over) = (self.settings.clone(), false);
+        old.max_customers = self.max_customers;
         // The old process receives the answers it is waiting for.
         old.pending_quota_requests.clear();
         for customer in old.customers.values_mut() {
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -35,6 +35,7 @@
     program: Program,
     listen: SocketAddr,
     admin: SocketAddr,
+    started: std::time::Instant,
     _agent: Agent,
 }
 
@@ -48,7 +49,7 @@
         config["settings"]["tariffs"][0]["storeSize"] = json!(1e6);
         let mut program = Program::start(name, &config.to_string(), &[], false);
         let listen = program.serving().await;
-        Self { program, listen, admin, _agent: agent }
+        Self { program, listen, admin, started: std::time::Instant::now(), _agent: agent }
     }
 
     /// Returns a figure of the process in KiB, such as `VmHWM`, its highest memory.
@@ -263,3 +264,43 @@
         site.check_peak().await;
     });
 }
+
+/// The number of clients that use ever new names.
+const NAMING_CLIENTS: usize = 40;
+/// The number of names that each of them uses up.
+const NAMES: usize = 1000;
+
+/// Sends keyed requests one by one, each with a new id and for a new customer.
+async fn use_up_names(listen: SocketAddr, n: usize) {
+    let mut client = Client::new(listen).await;
+    for name in n * NAMES..(n + 1) * NAMES {
+        let request = submit_head(&format!("new-{name}"), 1500, "Content-Length: 4") + "e2e4";
+        client.ask(&request.replace("client=0000000000000007", &format!("client={name:016x}"))).await;
+    }
+}
+
+/// Guards against state by the names of customers and requests that grows as long as new ones come.
+#[test]
+fn clients_under_ever_new_names_stay_within_the_memory_limit() {
+    local(async {
+        let site = Site::start("ever-new-names", Pace::default()).await;
+        let before = site.memory_kib("RssAnon");
+        let listen = site.listen;
+        let naming: Vec<_> = (0..NAMING_CLIENTS).map(|n| spawn_local(use_up_names(listen, n))).collect();
+        let mut longest = Duration::ZERO;
+        while naming.iter().any(|task| !task.is_finished()) {
+            let asked = std::time::Instant::now();
+            assert_eq!(
+                usual_request(listen, &format!("usual-{}", site.started.elapsed().as_micros())).await,
+                Some(200)
+            );
+            longest = longest.max(asked.elapsed());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        site.check_peak().await;
+        let growth = site.memory_kib("RssAnon") - before;
+        println!("{} names: {growth} KiB more, a usual client waited {longest:?}", NAMING_CLIENTS * NAMES);
+        assert!(longest < Duration::from_millis(500), "{longest:?}");
+        assert!(growth < MEMORY_MIB * 1024 / 4, "{growth} KiB more: it grows with the names");
+    });
+}
