--- a/src/backends/address_owners.rs
+++ b/src/backends/address_owners.rs
@@ -10,7 +10,8 @@
 #[derive(Debug)]
 struct Listed {
     entry: ServiceEntry,
-    /// The number of the list that first told of this process at this address.
+    /// The number of the list that first told of this process at this address. One that a full list adds beside another
+    /// at the same address counts as told of with that one.
     told_in: u64,
 }
 
@@ -56,13 +57,18 @@
             let in_list: BTreeSet<BackendId> = list.entries.iter().map(|entry| entry.entry.backend).collect();
             self.listed.retain(|id, _| in_list.contains(id));
         }
+        let told_before: HashMap<SocketAddr, u64> = match list.complete {
+            true => self.listed.values().filter_map(|l| Some((l.entry.address?, l.told_in))).collect(),
+            false => HashMap::new(),
+        };
         for entry in &list.entries {
             let id = entry.entry.backend;
             if entry.entry.state == BackendState::Gone {
                 self.listed.remove(&id);
                 continue;
             }
-            let mut listed = Listed { entry: entry.clone(), told_in: self.lists };
+            let beside = entry.address.and_then(|address| told_before.get(&address));
+            let mut listed = Listed { entry: entry.clone(), told_in: *beside.unwrap_or(&self.lists) };
             if let Some(known) = self.listed.get(&id).filter(|known| known.process() == listed.process()) {
                 listed.told_in = known.told_in;
             }
@@ -70,17 +76,24 @@
         }
     }
 
-    /// Returns the backends whose address belongs to one that was told of in a later list.
+    /// Returns the backends whose address belongs to one that was told of in a later list, or that started later.
     fn find_superseded(&self) -> BTreeSet<BackendId> {
-        let mut last_told: HashMap<SocketAddr, u64> = HashMap::with_capacity(self.listed.len());
+        let mut last: HashMap<SocketAddr, (u64, Option<Millis>)> = HashMap::with_capacity(self.listed.len());
         for listed in self.listed.values() {
             if let Some(address) = listed.entry.address {
-                let last = last_told.entry(address).or_default();
-                *last = listed.told_in.max(*last);
+                let told = (listed.told_in, listed.entry.entry.last_start);
+                let last = last.entry(address).or_insert(told);
+                if told > *last {
+                    *last = told;
+                }
             }
         }
         let is_superseded = |listed: &Listed| {
-            listed.entry.address.is_some_and(|address| last_told[&address] > listed.told_in)
+            let Some((told_in, start)) = listed.entry.address.and_then(|address| last.get(&address)) else {
+                return false;
+            };
+            let started_before = listed.entry.entry.last_start.is_some_and(|own| Some(own) < *start);
+            *told_in > listed.told_in || started_before
         };
         self.listed.iter().filter(|(_, listed)| is_superseded(listed)).map(|(id, _)| *id).collect()
     }
--- a/src/backends/address_owners/tests.rs
+++ b/src/backends/address_owners/tests.rs
@@ -43,6 +43,19 @@
     }
 }
 
+#[test]
+fn a_full_list_may_add_a_backend_beside_another_unless_their_starts_differ() {
+    let mut owners = AddressOwners::default();
+    let [one, mut two] = ["one", "two"].map(|name| entry(name, 1, BackendState::Ready));
+    apply(&mut owners, true, vec![one.clone()]);
+    assert!(apply(&mut owners, true, vec![one.clone(), two.clone()]).iter().all(|(_, gone)| !gone));
+    two.entry.last_start = Some(9.0);
+    let mut older = one;
+    older.entry.last_start = Some(8.0);
+    let gone = apply(&mut owners, true, vec![older, two]);
+    assert_eq!(gone, [(backend_id("one"), true), (backend_id("two"), false)]);
+}
+
 #[test]
 fn a_backend_that_starts_again_at_its_address_gets_it_back() {
     let mut owners = AddressOwners::default();
