Accept the waiting connections of a drain although accept fails for a moment

While a process drained, any error of accept but two counted as an empty backlog: after one ENFILE or ENOBUFS the connections that waited were reset unread with the requests on them. Now only EWOULDBLOCK does; after another error accept is tried again 50 ms later, and the drain waits for that. While serving, EINTR and ECONNABORTED no longer cost a pause of 50 ms. Found by reading against the terms on system calls; the errors could not be brought about on a real process here, so there is no test.

--- a/src/net/server_side/mod.rs
+++ b/src/net/server_side/mod.rs
@@ -234,6 +234,7 @@
                 accepted = listener.accept(),
                 if active && shared.open.get() < max_open && !shared.eviction_pending() => match accepted {
                     Ok((stream, _)) => Self::accept(&shared, stream),
+                    Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                     Err(e) => {
                         warn!(shared.log, "a connection could not be accepted"; "error" => %e);
                         shared.deadlines.sleep(ACCEPT_RETRY_DELAY).await;
@@ -261,7 +262,9 @@
         // as places become free. If another process has taken over, it accepts them.
         let mut backlog = listener.into_std().ok().filter(|_| *role.borrow() == Role::Active);
         loop {
+            let mut accept_failed = false;
             while shared.open.get() < max_open
+                && !accept_failed
                 && let Some(listener) = &backlog
             {
                 match listener.accept() {
@@ -270,17 +273,21 @@
                         stream.into_iter().for_each(|stream| Self::accept(&shared, stream));
                     }
                     Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                    // The backlog is empty.
-                    Err(_) => backlog = None,
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => backlog = None,
+                    Err(e) => {
+                        warn!(shared.log, "a connection could not be accepted"; "error" => %e);
+                        accept_failed = true;
+                    }
                 }
             }
             // A predecessor passes on the connections whose answers it still waits for: they are served here, or
             // passed on in turn.
-            if shared.open.get() == 0 && !*predecessor.borrow_and_update() {
+            if shared.open.get() == 0 && !accept_failed && !*predecessor.borrow_and_update() {
                 return;
             }
             tokio::select! {
                 biased;
+                () = shared.deadlines.sleep(ACCEPT_RETRY_DELAY), if accept_failed => {}
                 Some(handover) = adopted.recv() => Self::adopt(&shared, handover),
                 () = shared.closed.notified() => {}
                 Ok(()) = predecessor.changed() => {}
