Write operators' bans and notices again until that succeeds

An operator whose disable-server had been answered ok lost the ban at the next crash if the folder could not be written just then (ENOSPC, EIO): the failure was logged and never made good; for notices it was even counted as done. The content is kept and tried twice a second until it is written, and a process that could not make its socket for the next one tries that again too.

Class: a promise that depends on one write.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -8,7 +8,7 @@
 use crate::config::MAX_ADMIN_CONNECTIONS;
 use crate::deadlines::Deadlines;
 use crate::exchange::{Operation, OperationResult};
-use crate::files;
+use crate::files::RetriedFile;
 use crate::interface::Millis;
 use crate::net::server_side::{Drain, Phase, Role};
 use crate::recovery::Recovery;
@@ -18,7 +18,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -62,7 +61,7 @@
     pub engine: OperationHandler,
     /// The file that stores the names of the disabled backends for the next process, or `None` to store
     /// nothing.
-    pub disabled_file: Option<PathBuf>,
+    pub disabled_file: Option<RetriedFile>,
     /// The clock and the timers.
     pub deadlines: Deadlines,
     /// The view of the fleet and the queue of notices to publish, or `None` if no fleet is configured.
@@ -250,9 +249,8 @@
     }
 
     fn save_disabled(&self, disabled: &[String]) {
-        let Some(path) = &self.server.disabled_file else { return };
-        if let Err(e) = files::replace(path, encode_disabled(disabled).as_bytes()) {
-            warn!(self.server.log, "bans could not be kept"; "error" => %e);
+        if let Some(file) = &self.server.disabled_file {
+            file.write(encode_disabled(disabled).into_bytes());
         }
     }
 }
--- a/src/cluster/transport.rs
+++ b/src/cluster/transport.rs
@@ -6,14 +6,13 @@
 use super::report::state_name;
 use super::{Action, Cluster};
 use crate::deadlines::Deadlines;
-use crate::files;
+use crate::files::RetriedFile;
 use crate::interface::Millis;
 use crate::net::server_side::{Drain, Phase, Role};
 use slog::{Logger, debug, info, warn};
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -49,7 +48,7 @@
     /// The drain of this instance, which operators can begin or end at any instance.
     pub drain: watch::Sender<Drain>,
     /// The file that keeps operators' notices for the next process; `None` if they are not kept.
-    pub notices_file: Option<PathBuf>,
+    pub notices_file: Option<RetriedFile>,
     /// The clock and the timers.
     pub deadlines: Deadlines,
     /// The logger for changes of members and notices.
@@ -113,10 +112,10 @@
     /// Restores the notices from the file of the previous process; returns their digest.
     fn restore(&mut self, notify: &mut impl FnMut(ClusterEvent)) -> u32 {
         let now = self.deadlines.clock().now();
-        let bytes = self.notices_file.as_ref().and_then(|path| std::fs::read(path).ok());
+        let bytes = self.notices_file.as_ref().and_then(|file| std::fs::read(file.path()).ok());
         let notices = bytes.map(|bytes| notices::decode(&bytes));
         if notices == Some(None) {
-            warn!(self.log, "a file of operators' words was passed over"; "path" => ?self.notices_file);
+            warn!(self.log, "a file of operators' words was passed over"; "path" => ?self.notices_file.as_ref().map(RetriedFile::path));
         }
         let mut cluster = self.cluster.borrow_mut();
         cluster.restore(now, notices.flatten().unwrap_or_default(), Vec::new());
@@ -179,11 +178,9 @@
     fn save(&self, saved_digest: &mut u32) {
         let cluster = self.cluster.borrow();
         let digest = cluster.notices().digest();
-        let Some(path) = self.notices_file.as_ref().filter(|_| digest != *saved_digest) else { return };
+        let Some(file) = self.notices_file.as_ref().filter(|_| digest != *saved_digest) else { return };
         *saved_digest = digest;
-        if let Err(e) = files::replace(path, &notices::encode(cluster.notices())) {
-            warn!(self.log, "operators' words could not be kept"; "error" => %e);
-        }
+        file.write(notices::encode(cluster.notices()));
     }
 
     /// Binds the socket, retrying until it succeeds. Returns `None` if this process stops first.
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,7 @@
 use crate::engine::{Engine, EngineLimits, Outputs};
 use crate::entries::BackendList;
 use crate::exchange::{ClientSideCommand, EngineEvent, Exchange, Operation, OperationResult};
+use crate::files::RetriedFile;
 use crate::fronts::ext_authz::authorisers::Authorisers;
 use crate::fronts::ext_authz::service::{self, CheckService};
 use crate::fronts::ext_authz::{Check, Front};
@@ -301,7 +302,8 @@
                 drain: drain.clone(),
                 notices_file: instance
                     .admin_listen
-                    .and_then(|_| rendezvous::path(instance.listen, "notices")),
+                    .and_then(|_| rendezvous::path(instance.listen, "notices"))
+                    .map(|path| RetriedFile::new(path, deadlines.clone(), log.clone())),
                 deadlines: deadlines.clone(),
                 log: log.clone(),
             };
@@ -360,7 +362,8 @@
                 role: role.subscribe(),
                 other_process: other_process.clone(),
                 engine: Box::new(engine),
-                disabled_file,
+                disabled_file: disabled_file
+                    .map(|path| RetriedFile::new(path, deadlines.clone(), log.clone())),
                 cluster,
                 recovery: recovery.recovery.clone(),
                 deadlines: deadlines.clone(),
--- a/src/upgrade/handover.rs
+++ b/src/upgrade/handover.rs
@@ -16,9 +16,9 @@
 use std::cell::Cell;
 use std::io;
 use std::os::fd::{AsFd, OwnedFd};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use tokio::net::{TcpStream, UnixStream};
+use tokio::net::{TcpStream, UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 
@@ -28,6 +28,9 @@
 /// The delay before the next attempt to accept a connection after a failed one, in milliseconds.
 const ACCEPT_RETRY: Millis = 50.0;
 
+/// The delay before the next attempt to listen for the next process, in milliseconds.
+const LISTEN_RETRY: Millis = 500.0;
+
 type EngineExchange = Exchange<Question, Answer>;
 type Outbox = mpsc::UnboundedSender<Message>;
 
@@ -166,13 +169,7 @@
     /// Waits for the next process and hands over to it; if that one ends while this one still serves, waits
     /// for another. Returns once this process drains.
     pub async fn serve_successor(self: Rc<Self>, path: PathBuf, mut outgoing: Outgoing) {
-        let listener = match listen(&path) {
-            Ok(listener) => listener,
-            Err(e) => {
-                warn!(self.log, "the next process will get no sockets"; "error" => %e);
-                return std::future::pending().await;
-            }
-        };
+        let listener = self.listen(&path).await;
         let mut phase = self.phase.clone();
         loop {
             let active = *self.role.borrow() == Role::Active;
@@ -200,6 +197,22 @@
         }
     }
 
+    /// Listens for the next process, as soon as that is possible.
+    async fn listen(&self, path: &Path) -> UnixListener {
+        let mut logged = false;
+        loop {
+            match listen(path) {
+                Ok(listener) => return listener,
+                Err(e) if !logged => {
+                    logged = true;
+                    warn!(self.log, "the next process will get no sockets"; "error" => %e);
+                }
+                Err(_) => {}
+            }
+            self.deadlines.sleep(LISTEN_RETRY).await;
+        }
+    }
+
     /// Becomes active again if the next process has ended while this one still serves. If this one was told to
     /// stop, it only finishes what it still has.
     fn resume(&self) {
