Keep windows, buckets and slow starts when the wall clock is stepped

The process's clock is monotonic, but three things compared it with the wall clock. A backend's start stands on the list by the wall clock: after a step back by an hour a backend that had just started was taken for warm, after a step forward a cold one stayed cold for an hour. The state that passes in an upgrade holds times of the old process's clock: if the wall clock was stepped between the two starts, buckets were filled with an hour's rate, or denials and ejections lasted an hour longer. The age of Consul's answers in show-stat was wrong by the step.

Starts are converted when they are first listed, by the latest time that any difference of the clocks seen so far allows, so that a cold backend is never taken for a warm one; differences below 0.5 s change nothing. An inherited state goes on with its own clock from the moment of the handover.

Class: a point in time of one clock read on another. Tests: unit tests of the starts, and tests/limiter_handover.rs with steps of an hour either way, which fails if the clock is not continued. Not played on real processes: a process's wall clock cannot be stepped here without rights or a shim.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -182,7 +182,9 @@
             Ok(status) => {
                 let fleet =
                     self.server.cluster.as_ref().map(|(cluster, _)| report::metrics(&cluster.borrow()));
-                format!("{}{}eof\n", self.server.stats.text(status.counts), fleet.unwrap_or_default())
+                let now = self.server.deadlines.clock().now();
+                let metrics = self.server.stats.text(status.counts, now);
+                format!("{metrics}{}eof\n", fleet.unwrap_or_default())
             }
             Err(reason) => format!("fail {reason}\n"),
         }
--- a/src/backends/mod.rs
+++ b/src/backends/mod.rs
@@ -5,3 +5,4 @@
 pub mod entries;
 pub mod maintenance;
 pub mod membership;
+pub mod start_times;
--- a/src/deadlines.rs
+++ b/src/deadlines.rs
@@ -19,11 +19,15 @@
     unix_origin: Millis,
 }
 
+/// Returns the time on the system's clock, which may be stepped at any time, in Unix milliseconds.
+pub fn wall_clock() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
+}
+
 impl Clock {
     /// Creates a clock that starts at the system's current time.
     pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { origin: Instant::now(), unix_origin: unix.as_secs_f64() * 1000.0 }
+        Self { origin: Instant::now(), unix_origin: wall_clock() }
     }
 
     /// Returns the current time, in Unix milliseconds.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -3,8 +3,9 @@
 //! its deadline.
 
 use crate::backends::address_owners::AddressOwners;
+use crate::backends::start_times::StartTimes;
 use crate::cluster::notices::{LocalNotice, Subject};
-use crate::deadlines::{DeadlineKey, Deadlines, Expiry};
+use crate::deadlines::{DeadlineKey, Deadlines, Expiry, wall_clock};
 use crate::entries::BackendList;
 use crate::exchange::{
     AttemptReport, BackendStatus, BodyProgress, ClientSideCommand, CounterCall, EngineEvent, EngineState,
@@ -121,6 +122,7 @@
     limiter: Limiter,
     maintenance: Maintenance,
     address_owners: AddressOwners,
+    start_times: StartTimes,
     /// The subset of the list that this ingress uses, or `None` if it uses the whole list.
     subset: Option<Subset>,
     deadlines: Deadlines,
@@ -162,6 +164,7 @@
             limiter,
             maintenance,
             address_owners: AddressOwners::default(),
+            start_times: StartTimes::default(),
             subset: None,
             deadlines,
             events,
@@ -316,6 +319,7 @@
             }
             EngineEvent::HandOver(reply) => {
                 self.retired = true;
+                self.limiter.note_handover(self.now);
                 let (list, disabled) = (self.maintenance.discovered_list(), self.maintenance.disabled());
                 let _ = reply.send(EngineState { limiter: self.limiter.hand_over(), disabled, list });
             }
@@ -348,6 +352,7 @@
         self.maintenance.replace_disabled(state.disabled);
         match self.limiter.inherit(&state.limiter) {
             Ok(in_flight) => {
+                self.limiter.continue_clock(self.now);
                 self.predecessor_attempts = in_flight
                     .into_iter()
                     .map(|(request, index, backend)| ((request, index), backend))
@@ -395,7 +400,8 @@
     }
 
     /// Applies a list from discovery, without the backends that operators have disabled.
-    fn apply_list(&mut self, list: BackendList, kind: ListKind) {
+    fn apply_list(&mut self, mut list: BackendList, kind: ListKind) {
+        self.start_times.convert(&mut list, self.deadlines.clock().now(), wall_clock());
         let list = self.address_owners.apply_list(list);
         let list = self.maintenance.apply_list(list);
         self.apply_change(list, kind);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -170,6 +170,7 @@
 
     /// Handles an event at `now` and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        let now = now + self.clock_shift;
         match event {
             Event::Start => {
                 (self.started_at, self.capacity_cut_at) = (now, now);
@@ -247,8 +248,9 @@
         for entry in entries {
             // Prevents a backend that returns, on a stale list or a fresh one, from being taken for warm.
             let first_seen = self.list_received.then_some(now);
+            let listed_start = entry.last_start.map(|at| at + self.clock_shift);
             let started_at =
-                entry.last_start.or(first_seen).filter(|at| now - at < self.settings.cold.warm_after);
+                listed_start.or(first_seen).filter(|at| now - at < self.settings.cold.warm_after);
             let backend =
                 self.backends.entry(entry.backend).or_insert_with(|| Backend::new(entry, started_at, now));
             let restarted = entry.last_start.is_some() && entry.last_start != backend.entry.last_start;
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,6 +120,12 @@
     pub(crate) retry_budget: f64,
     /// Another process decides now; this one sends nothing to cold backends.
     pub(crate) handed_over: bool,
+    /// When the state was handed over, on the clock of its times; `None` if that is not known.
+    pub(crate) handed_over_at: Option<Millis>,
+    /// How far the clock of the times in this state is ahead of this process's clock. The two differ where the state is
+    /// that of a process that started before the system's clock was stepped.
+    #[serde(skip)]
+    pub(crate) clock_shift: Millis,
     /// Which ingresses are live, by number; `None` if unknown.
     #[serde(skip)]
     pub(crate) live_ingresses: Option<Vec<bool>>,
@@ -176,6 +182,8 @@
             warm_by_kind: BTreeMap::new(),
             retry_budget: 0.0,
             handed_over: false,
+            handed_over_at: None,
+            clock_shift: 0.0,
             live_ingresses: None,
         }
     }
@@ -217,6 +225,17 @@
         bytes
     }
 
+    /// Notes the time in the state that is handed over next.
+    pub fn note_handover(&mut self, now: Millis) {
+        self.handed_over_at = Some(now + self.clock_shift);
+    }
+
+    /// Has the times of an inherited state go on from when it was handed over, which is `now` on this process's clock.
+    /// The clocks of two processes differ if the system's clock was stepped between their starts.
+    pub fn continue_clock(&mut self, now: Millis) {
+        self.clock_shift = self.handed_over_at.take().map_or(0.0, |at| at - now);
+    }
+
     /// Continues to decide because the other process is gone.
     pub fn resume(&mut self) {
         self.handed_over = false;
@@ -451,6 +470,7 @@
     /// Returns the number of listed backends, and of those that get no work now because of their listed state
     /// or their failures.
     pub fn backend_counts(&self, now: Millis) -> BackendCounts {
+        let now = now + self.clock_shift;
         let listed = self.backends.values().filter(|b| b.entry.state != BackendState::Gone);
         let is_unavailable = |b: &Backend| {
             b.entry.state != BackendState::Ready || !self.widespread_trouble && self.is_passed_over(now, b)
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -6,13 +6,12 @@
 pub use memory::MemoryOwner;
 pub use reasons::{CloseReason, RefusalReason};
 
-use crate::interface::{ClassId, Outcome};
+use crate::interface::{ClassId, Millis, Outcome};
 use memory::MemoryGauges;
 use reasons::Reasons;
 use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// How a request ended, if its client waited for the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,8 +117,8 @@
         self.consul.oldest_answer.store(oldest_answer.max(0.0) as u64, Ordering::Relaxed);
     }
 
-    /// Returns all metrics as text, one line each.
-    pub fn text(&self, backends: BackendCounts) -> String {
+    /// Returns all metrics as text, one line each. `now` is the time on this process's clock, in Unix milliseconds.
+    pub fn text(&self, backends: BackendCounts, now: Millis) -> String {
         let read = |metric: &AtomicU64| metric.load(Ordering::Relaxed);
         let mut text = String::new();
         for (i, what) in ["completed", "rejected", "failed"].into_iter().enumerate() {
@@ -136,7 +135,7 @@
         let _ = writeln!(text, "svc_pending {}", read(&self.pending));
         let _ = writeln!(text, "svc_members {}", backends.listed);
         let _ = writeln!(text, "svc_members_unavailable {}", backends.unavailable);
-        self.consul.write(&mut text);
+        self.consul.write(&mut text, now);
         self.reasons.write(&mut text);
         self.memory.write(&mut text);
         text
@@ -145,15 +144,14 @@
 
 impl ConsulStats {
     /// Appends these metrics to `text` if any service is queried.
-    fn write(&self, text: &mut String) {
+    fn write(&self, text: &mut String, now: Millis) {
         let services = self.services.load(Ordering::Relaxed);
         if services == 0 {
             return;
         }
         let failing = self.failing.load(Ordering::Relaxed);
         let oldest_answer = self.oldest_answer.load(Ordering::Relaxed);
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        let age = if oldest_answer > 0 { now.saturating_sub(oldest_answer) } else { 0 };
+        let age = if oldest_answer > 0 { (now as u64).saturating_sub(oldest_answer) } else { 0 };
         let _ = writeln!(text, "svc_consul_services {services}\nsvc_consul_silent {failing}");
         let _ = writeln!(text, "svc_consul_age_ms {age}");
     }
--- a/src/view.rs
+++ b/src/view.rs
@@ -46,6 +46,7 @@
 impl Limiter {
     /// Returns a snapshot at `now`.
     pub fn view(&self, now: Millis) -> View {
+        let now = now + self.clock_shift;
         let ready = || self.backends.values().filter(|b| b.entry.state == BackendState::Ready);
         let is_cold = |b: &&crate::state::Backend| self.warmth(now, b) < 1.0;
         let is_passed_over = |b: &&crate::state::Backend| self.is_passed_over(now, b);
--- a/tests/limiter_handover.rs
+++ b/tests/limiter_handover.rs
@@ -26,6 +26,25 @@
     assert_eq!(served, 10, "the token bucket keeps filling at its rate");
 }
 
+/// The system's clock was stepped between the starts of the two processes: windows and buckets are spans of real time.
+#[test]
+fn a_quota_fills_at_its_rate_though_the_clock_was_stepped_before_the_handover() {
+    const HOUR: f64 = 3_600_000.0;
+    for step in [HOUR, -HOUR] {
+        let mut old = Harness::new(settings(plan()), 2);
+        assert_eq!((0..20).filter(|_| old.serve(5, 1.0, 1)).count(), 20, "the burst");
+        let mut new = Harness::new(settings(plan()), 2);
+        new.now = old.now + step;
+        old.limiter.note_handover(old.now);
+        new.limiter.inherit(&old.limiter.hand_over()).unwrap();
+        new.limiter.continue_clock(new.now);
+        assert!(!new.serve(5, 1.0, 1), "a step of {step} ms fills no bucket");
+        new.advance(1000.0);
+        let served = (0..20).filter(|_| new.serve(5, 1.0, 1)).count();
+        assert_eq!(served, 10, "after a step of {step} ms the bucket fills at its rate");
+    }
+}
+
 #[test]
 fn attempts_in_flight_at_the_old_limiter_count_until_they_end_and_are_not_retried() {
     let mut old = Harness::new(settings(Plan { max_in_flight: 2.0, ..plan() }), 2);
