Play the incident's pictures drawn by seed as a soak

weldhub-trials soak plays, for each seed, a process with 32 or 64 MB and 256 or 1,024 descriptors, one to three groups of up to 300 clients (steady and stopped uploads, uploads to a slow backend, slow readers, late answers, heads of many fields, ever new names, ids that come again, clients that leave, a crowd that rests), usual clients beside them, and SIGTERM twice with SIGKILL at the protocol's earliest, SIGKILL, an upgrade, or nothing. It checks the memory of all processes of the ingress together, answers in time, answers that are cut off, ids that run in two cells, and attempts for clients that have left. A stand-in backend takes its pace from the last segment of the path.

--- a/trials/src/check.rs
+++ b/trials/src/check.rs
@@ -395,6 +395,7 @@
                 BackendCommand { at: 9000, ingress: 1, backend: 0, disabled: false },
             ],
             record: Record {
+                runs: Vec::new(),
                 // Backend 1 drains from 2 s to 4 s; backend 0 is disabled from 1 s to 9 s.
                 arrivals: vec![
                     arrival(900, 0, 0, 0),
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod check;
 pub mod fault_proxy;
+pub mod paced;
 pub mod relay;
 pub mod rig;
 pub mod scale;
 pub mod script;
+pub mod soak;
 pub mod stand_ins;
 pub mod timeline;
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -10,6 +10,7 @@
 use weldhub_trials::rig::Rig;
 use weldhub_trials::scale::{self, Part};
 use weldhub_trials::script::Script;
+use weldhub_trials::soak;
 use weldhub_trials::timeline;
 
 /// Starts several processes of weldhub on loopback, injects faults, and checks the outcome.
@@ -49,6 +50,15 @@
         #[arg(long, default_value = "target/scale")]
         folder: PathBuf,
     },
+    /// Play soaks drawn by seed: clients that misbehave, usual ones beside them, and signals.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        /// The number of seeds.
+        #[arg(long, default_value_t = 50)]
+        seeds: u64,
+    },
     /// Execute the program, which is killed when the process that started this one ends.
     #[command(hide = true)]
     Guard,
@@ -123,6 +133,44 @@
     Ok(passed)
 }
 
+/// Plays soaks and prints a line for each; returns whether all passed.
+async fn soak(program: PathBuf, first: u64, seeds: u64) -> Result<bool, String> {
+    let mut broken = 0;
+    for seed in first..first + seeds {
+        let report = soak::play(&program, seed).await?;
+        let groups: Vec<String> = report
+            .soak
+            .groups
+            .iter()
+            .map(|group| {
+                format!(
+                    "{} x {:?} of {} bytes at {} ms",
+                    group.clients, group.behavior, group.bytes, group.at
+                )
+            })
+            .collect();
+        let faults: Vec<String> = report
+            .soak
+            .script
+            .faults
+            .iter()
+            .map(|fault| format!("{:?} at {} ms", fault.kind, fault.at))
+            .collect();
+        println!(
+            "seed {seed}: {} KiB of {} MiB, {} descriptors; {}; {}",
+            report.peak_kib,
+            report.soak.limits.memory_mib,
+            report.soak.limits.descriptors,
+            groups.join(", "),
+            faults.join(", ")
+        );
+        report.violations.iter().for_each(|violation| println!("  BROKEN {violation}"));
+        broken += u64::from(!report.violations.is_empty());
+    }
+    println!("{} of {seeds} seeds passed", seeds - broken);
+    Ok(broken == 0)
+}
+
 /// Runs a fleet, prints how to reach it, and never returns but for an error at the start.
 async fn fleet(program: PathBuf, ingresses: usize, backends: usize) -> Result<bool, String> {
     let script = Script::parse(&format!("ingresses = {ingresses}\nservers = {backends}\nlength = 1"))?;
@@ -180,6 +228,7 @@
                 Command::Scale { parts, subset, folder } => {
                     scale::measure_parts(&cli.program, &parts, subset, &folder).map(|()| true)
                 }
+                Command::Soak { first, seeds } => soak(cli.program, first, seeds).await,
                 Command::Guard => Ok(true),
                 Command::Fleet { ingresses, servers } => fleet(cli.program, ingresses, servers).await,
             }
--- a/trials/src/rig.rs
+++ b/trials/src/rig.rs
@@ -97,6 +97,8 @@
     loopback_ip: IpAddr,
     foreign_ingresses: usize,
     backend_commands: Vec<BackendCommand>,
+    /// The ids of the processes that were started, by ingress.
+    pub process_ids: Rc<RefCell<Vec<Vec<u32>>>>,
 }
 
 impl Drop for Rig {
@@ -205,7 +207,7 @@
         let peer_relay = Relay::start(peer_addresses.clone(), network.clone())
             .await
             .map_err(|e| context("cannot start the relay of peer messages", e))?;
-        let stand_ins = StandIns::start(count, script.backends, script.service_time).await;
+        let stand_ins = StandIns::start(count, (script.backends, script.cells), script.service_time).await;
         let stand_ins = stand_ins.map_err(|e| context("cannot start the stand-ins", e))?;
         let folder = std::env::temp_dir().join(format!(
             "weldhub-trial-{}-{}",
@@ -232,6 +234,9 @@
                 if let Some(size) = script.subset {
                     config["subset"] = json!({ "size": size });
                 }
+                if let Some(limits) = script.limits {
+                    config["limits"] = json!({"memory_mb": limits.memory_mib, "sockets": limits.descriptors});
+                }
                 if !script.membership {
                     config.as_object_mut().and_then(|config| config.remove("cluster"));
                 }
@@ -264,6 +269,7 @@
             loopback_ip,
             foreign_ingresses: script.foreign_ingresses,
             backend_commands: Vec::new(),
+            process_ids: Rc::new(RefCell::new(vec![Vec::new(); count])),
         };
         for n in 0..count {
             this.spawn(n).map_err(|e| context(&format!("{}", program.display()), e))?;
@@ -295,6 +301,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
+        self.process_ids.borrow_mut()[n].push(child.id());
         Ok(process.child.replace(child))
     }
 
--- a/trials/src/script.rs
+++ b/trials/src/script.rs
@@ -27,6 +27,12 @@
     /// The size of the subset of backends that each ingress uses; `None` if each uses all.
     #[serde(default)]
     pub subset: Option<usize>,
+    /// The number of cells that the backends are spread over.
+    #[serde(default = "default_cells")]
+    pub cells: usize,
+    /// The limits of each process; the program's own if there are none.
+    #[serde(default)]
+    pub limits: Option<ProcessLimits>,
     /// How long a stand-in backend takes to answer, in milliseconds.
     #[serde(default = "default_service_time", rename = "work")]
     pub service_time: u64,
@@ -56,6 +62,20 @@
     pub notice_time: u64,
 }
 
+/// The limits of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessLimits {
+    /// The memory in MiB.
+    pub memory_mib: usize,
+    /// The number of descriptors.
+    pub descriptors: usize,
+}
+
+fn default_cells() -> usize {
+    1
+}
+
 fn default_membership() -> bool {
     true
 }
--- /dev/null
+++ b/trials/src/soak/mod.rs
@@ -0,0 +1,85 @@
+//! A soak: for each seed a process with small limits, clients that misbehave in the ways of past incidents, usual clients
+//! beside them, and signals. It checks memory, answers in time, answers that are cut off, and requests that run twice.
+
+pub mod clients;
+pub mod draw;
+
+use crate::check::check;
+use crate::rig::Rig;
+use clients::Clients;
+use draw::Soak;
+use std::cell::{Cell, RefCell};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// The interval at which the memory of the processes is read.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a soak of one seed found.
+#[derive(Debug)]
+pub struct Report {
+    /// What was played.
+    pub soak: Soak,
+    /// The rules that were broken; none if it passed.
+    pub violations: Vec<String>,
+    /// The highest memory of all processes of the ingress together, in KiB.
+    pub peak_kib: usize,
+}
+
+/// Plays the soak of a seed.
+///
+/// # Errors
+/// A message if the rig cannot be started or a fault cannot be applied.
+pub async fn play(program: &Path, seed: u64) -> Result<Report, String> {
+    let soak = Soak::draw(seed)?;
+    let mut rig = Rig::start(program, &soak.script).await?;
+    let clients = Rc::new(Clients {
+        listen: rig.client_addresses[0],
+        stand_ins: rig.stand_ins.clone(),
+        start: Instant::now(),
+        outage: soak.outage,
+        violations: RefCell::default(),
+        repeated: RefCell::default(),
+        left: RefCell::default(),
+    });
+    let peak = Rc::new(Cell::new(0));
+    let memory = spawn_local(watch_memory(rig.process_ids.clone(), peak.clone()));
+    let length = Duration::from_millis(soak.script.length);
+    spawn_local(clients.clone().usual(length - Duration::from_secs(2)));
+    for (group_number, group) in soak.groups.iter().enumerate() {
+        for number in 0..group.clients {
+            let name = format!("{:?}-{group_number}-{number}", group.behavior);
+            spawn_local(clients.clone().run(*group, number, name));
+        }
+    }
+    let outcome = rig.play(&soak.script, |_| {}).await?;
+    memory.abort();
+    clients.check_record();
+    let mut violations = clients.violations.borrow().clone();
+    violations.extend(check(&soak.script, &outcome).0);
+    let limit = soak.limits.memory_mib * 1024;
+    if peak.get() > limit {
+        violations.push(format!("{} KiB of memory, of {limit} allowed", peak.get()));
+    }
+    Ok(Report { violations, peak_kib: peak.get(), soak })
+}
+
+/// Records the highest sum of the memory of an ingress's processes.
+async fn watch_memory(process_ids: Rc<RefCell<Vec<Vec<u32>>>>, peak: Rc<Cell<usize>>) {
+    loop {
+        for ids in process_ids.borrow().iter() {
+            peak.set(peak.get().max(ids.iter().map(|id| resident_kib(*id)).sum()));
+        }
+        sleep(MEMORY_INTERVAL).await;
+    }
+}
+
+/// Returns the resident memory of a process, in KiB; 0 if it has ended.
+fn resident_kib(id: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
--- a/trials/src/stand_ins.rs
+++ b/trials/src/stand_ins.rs
@@ -3,8 +3,7 @@
 //! were sent to whom.
 
 use crate::fault_proxy::FaultProxy;
-use http_body_util::Full;
-use hyper::body::Bytes;
+use crate::paced::{Pace, PacedBody};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -13,7 +12,6 @@
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +23,9 @@
 /// The interval of the empty lines that keep a discovery watch alive.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The length of a usual answer, in bytes.
+const ANSWER_BYTES: usize = 8;
+
 /// A request that arrived at a backend.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Arrival {
@@ -44,6 +45,19 @@
     pub request_id: String,
 }
 
+/// A request that a backend received to its last byte, and so ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Run {
+    /// When, in milliseconds from the start of the trial.
+    pub at: i64,
+    /// The number of the backend.
+    #[serde(rename = "server")]
+    pub backend: usize,
+    /// Its `Request-Id`.
+    #[serde(rename = "id")]
+    pub request_id: String,
+}
+
 /// A change of a backend's state that discovery sent to an ingress.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct DrainChange {
@@ -65,6 +79,8 @@
 pub struct Record {
     /// The requests that arrived at backends, in order.
     pub arrivals: Vec<Arrival>,
+    /// The requests that backends ran, in order.
+    pub runs: Vec<Run>,
     /// The changes that discovery sent, in order.
     #[serde(rename = "words")]
     pub drain_changes: Vec<DrainChange>,
@@ -113,17 +129,26 @@
     /// How long a backend takes to answer, in milliseconds.
     service_time: u64,
     served: Rc<Cell<u64>>,
+    /// The number of answers that were cut off.
+    cut_off: Rc<Cell<u64>>,
+    /// The number of cells that the backends are in.
+    cells: usize,
     /// The zero of the record's clock.
     start: Rc<Cell<Instant>>,
 }
 
 impl StandIns {
     /// Starts all stand-ins and their proxies. Must be called within a `LocalSet`. A backend takes
-    /// `service_time` milliseconds to answer.
+    /// `service_time` milliseconds to answer, unless the path of a request says otherwise. The backends are spread
+    /// over `cells` cells.
     ///
     /// # Errors
     /// The operating system's error if no port can be bound.
-    pub async fn start(ingresses: usize, backends: usize, service_time: u64) -> io::Result<Self> {
+    pub async fn start(
+        ingresses: usize,
+        (backends, cells): (usize, usize),
+        service_time: u64,
+    ) -> io::Result<Self> {
         let proxies = || (0..ingresses).map(|_| FaultProxy::default()).collect::<Vec<_>>();
         let list = PublishedList { draining: vec![false; backends], generation: 1, empty: false };
         let this = Self {
@@ -137,6 +162,8 @@
             split_ingresses: Rc::default(),
             service_time,
             served: Rc::default(),
+            cut_off: Rc::default(),
+            cells,
             start: Rc::new(Cell::new(Instant::now())),
         };
         for ingress in 0..ingresses {
@@ -176,6 +203,11 @@
         self.served.get()
     }
 
+    /// Returns the number of answers that were cut off.
+    pub fn cut_off(&self) -> u64 {
+        self.cut_off.get()
+    }
+
     /// Returns a copy of the record.
     pub fn record(&self) -> Record {
         self.record.borrow().clone()
@@ -220,7 +252,7 @@
         let list = self.list.borrow();
         let entry = |(backend, draining): (usize, &bool)| {
             json!({"instanceId": format!("s{backend}"), "hostPort": addresses[backend].to_string(), "zone": "a",
-                "machineType": "m", "cell": 0,
+                "machineType": "m", "cell": backend % self.cells,
                 "lifecycle": if *draining { "terminating" } else { "in_service" }, "weight": 1.0,
                 "startedAtMs": 0})
         };
@@ -231,15 +263,22 @@
     async fn serve_backend(self, stream: DuplexStream, ingress: usize, backend: usize) {
         let answer = service_fn(move |request: Request<hyper::body::Incoming>| {
             let this = self.clone();
+            let usual_work = Duration::from_millis(this.service_time);
+            let pace = Pace::from_path(request.uri().path(), usual_work);
             let request_index = request.uri().path().rsplit('/').next().and_then(|n| n.parse().ok());
             let id = request.headers().get("request-id").and_then(|id| id.to_str().ok()).unwrap_or("");
             let arrival =
                 Arrival { at: this.now(), ingress, backend, request_index, request_id: id.to_owned() };
+            let run = Run { at: 0, backend, request_id: id.to_owned() };
             this.record.borrow_mut().arrivals.push(arrival);
             async move {
-                sleep(Duration::from_millis(this.service_time)).await;
+                if !pace.read(request.into_body()).await {
+                    return Err("the request broke off");
+                }
+                this.record.borrow_mut().runs.push(Run { at: this.now(), ..run });
+                sleep(pace.work).await;
                 this.served.set(this.served.get() + 1);
-                Ok::<_, Infallible>(Response::new(Full::new(Bytes::from_static(b"a board\n"))))
+                Ok(Response::new(PacedBody::new(&pace, ANSWER_BYTES, this.cut_off.clone())))
             }
         });
         let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), answer).await;
