Go on with reads and writes that a signal interrupts

A unit test with a stream that interrupts every other call and passes one byte at a time; before, the first call failed the connection. Linux returns EINTR there rarely, and none could be brought about on a real process.

--- a/src/net/client_side/mod.rs
+++ b/src/net/client_side/mod.rs
@@ -8,7 +8,7 @@
 use super::body_channel::{BodyReceiver, SingleUseBody};
 use super::budget::{MemoryBudget, PredecessorConnections, Reservation};
 use super::server_side::Role;
-use super::stream::connect;
+use super::stream::{connect, write_all};
 use crate::config::Site;
 use crate::deadlines::Deadlines;
 use crate::exchange::{ClientSideCommand, Exchange};
@@ -25,7 +25,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
@@ -358,7 +357,7 @@
             return;
         }
         match stream.try_read(&mut [0]) {
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
             _ => return,
         }
     }
@@ -413,8 +412,8 @@
                 upload.write_request(head, time_left, question.content_length, rest).await?
             }
             None => {
-                let mut bytes = head.chain(question.body.clone());
-                match self.within_limit(time_left, stream.write_all_buf(&mut bytes)).await {
+                let bytes = head.chain(question.body.clone());
+                match self.within_limit(time_left, write_all(stream, bytes)).await {
                     Some(Ok(())) => WriteProgress::Complete,
                     _ => return Err(Outcome::ConnectFailed),
                 }
--- a/src/net/client_side/write.rs
+++ b/src/net/client_side/write.rs
@@ -4,14 +4,13 @@
 use crate::interface::*;
 use crate::net::body_channel::{BodyPiece, BodyReceiver, PendingBody};
 use crate::net::http::{Head, MAX_BUFFERED_MESSAGE_BYTES, MessageKind, frame_data, peek_head};
-use crate::net::stream::read_more;
+use crate::net::stream::{read_more, write_buf};
 use bytes::{Buf, Bytes, BytesMut};
 use slog::debug;
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 /// How far a request was written when its answer is read.
@@ -132,7 +131,7 @@
             let more = tokio::select! {
                 biased;
                 more = read_more(&mut reader, self.buffer) => more,
-                written = writer.write_buf(&mut bytes) => match written {
+                written = write_buf(&mut writer, &mut bytes) => match written {
                     Ok(n) if n > 0 => {
                         stalled = self.side.deadlines.sleep(self.stall_timeout);
                         continue;
--- a/src/net/partial_body.rs
+++ b/src/net/partial_body.rs
@@ -2,10 +2,9 @@
 
 use super::budget::{MAX_PIECE_BYTES, Reservation};
 use super::http::{BodyDecoder, MAX_BUFFERED_BODY_BYTES, ParseError};
-use super::stream::{read_reserved, reallocate};
+use super::stream::{read_buf, read_reserved, reallocate};
 use bytes::{BufMut, BytesMut};
 use std::io;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// The least room for the decoded data of a body that is not complete, in bytes.
@@ -96,7 +95,7 @@
             return None;
         }
         let room = unframed.min(self.decoded.capacity() - self.decoded.len());
-        let read = stream.read_buf(&mut (&mut self.decoded).limit(room)).await;
+        let read = read_buf(stream, &mut (&mut self.decoded).limit(room)).await;
         Some(read.map(|n| {
             self.decoder.skip_unframed(n);
             n > 0
--- a/src/net/server_side/connection.rs
+++ b/src/net/server_side/connection.rs
@@ -11,7 +11,7 @@
 use crate::net::http::{
     BodyDecoder, FramedData, Head, MAX_BODY_BYTES, MAX_BUFFERED_MESSAGE_BYTES, frame_data,
 };
-use crate::net::stream::read_reserved;
+use crate::net::stream::{read_reserved, write_buf};
 use crate::stats::{CloseReason, RefusalReason, RequestInProgress, RequestOutcome};
 use bytes::{Buf, Bytes, BytesMut};
 use slog::debug;
@@ -171,7 +171,7 @@
     /// Writes bytes as fast as the client accepts them. Returns `false` if it accepts none any more.
     pub(super) async fn write(&self, stream: &mut TcpStream, mut bytes: impl Buf) -> bool {
         while bytes.has_remaining() {
-            match self.shared.deadlines.within(WRITE_TIMEOUT, stream.write_buf(&mut bytes)).await {
+            match self.shared.deadlines.within(WRITE_TIMEOUT, write_buf(stream, &mut bytes)).await {
                 Some(Ok(n)) if n > 0 => {}
                 _ => return false,
             }
@@ -265,7 +265,7 @@
                 ahead.dropped_bytes += n;
                 n > 0
             }
-            Err(e) => e.kind() == ErrorKind::WouldBlock,
+            Err(e) => matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
         }
     }
 
@@ -285,7 +285,7 @@
                 match stream.try_read(&mut shared.scratch.borrow_mut()) {
                     Ok(0) => return,
                     Ok(n) => read += n,
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
                     Err(_) => return,
                 }
             }
--- a/src/net/server_side/upload.rs
+++ b/src/net/server_side/upload.rs
@@ -218,7 +218,7 @@
             let room = unframed.unwrap_or(DISCARDED_CHUNK_BYTES).min(SCRATCH_BYTES);
             let n = match stream.try_read(&mut scratch[..room]) {
                 Ok(n) => n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => continue,
                 Err(e) => return Err(e),
             };
             match unframed {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -2,12 +2,12 @@
 
 use crate::config::ReloadableConfig;
 use crate::net::budget::Reservation;
-use bytes::{BufMut, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -23,11 +23,44 @@
     Ok(stream)
 }
 
+/// Reads into a buffer. A read that a signal interrupts is tried again.
+pub async fn read_buf(
+    stream: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut impl BufMut,
+) -> io::Result<usize> {
+    loop {
+        match stream.read_buf(buffer).await {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            read => return read,
+        }
+    }
+}
+
+/// Writes some bytes of a buffer. A write that a signal interrupts is tried again.
+pub async fn write_buf(stream: &mut (impl AsyncWriteExt + Unpin), bytes: &mut impl Buf) -> io::Result<usize> {
+    loop {
+        match stream.write_buf(bytes).await {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            written => return written,
+        }
+    }
+}
+
+/// Writes all bytes of a buffer.
+pub async fn write_all(stream: &mut (impl AsyncWriteExt + Unpin), mut bytes: impl Buf) -> io::Result<()> {
+    while bytes.has_remaining() {
+        if write_buf(stream, &mut bytes).await? == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+    }
+    Ok(())
+}
+
 /// Appends the bytes that are available to `buffer`. Returns `false` at the end of the stream.
 pub async fn read_more(stream: &mut (impl AsyncReadExt + Unpin), buffer: &mut BytesMut) -> io::Result<bool> {
     // The reads grow with the message, as an incomplete message is parsed again after each of them.
     buffer.reserve(buffer.len().clamp(MIN_READ_BYTES, MAX_READ_BYTES));
-    Ok(stream.read_buf(buffer).await? > 0)
+    Ok(read_buf(stream, buffer).await? > 0)
 }
 
 /// Appends the bytes that are available to `buffer`, which grows by doubling; `reservation` pays for its capacity and
@@ -45,7 +78,7 @@
         }
         reallocate(buffer, capacity);
     }
-    Some(stream.read_buf(buffer).await.map(|n| n > 0))
+    Some(read_buf(stream, buffer).await.map(|n| n > 0))
 }
 
 /// Moves the content of a buffer to an allocation of this capacity in bytes, or of its length if that is more. A buffer
@@ -67,7 +100,7 @@
 ) -> io::Result<usize> {
     let capacity = buffer.len() + max_bytes;
     reallocate(buffer, capacity);
-    stream.read_buf(&mut (&mut *buffer).limit(max_bytes)).await
+    read_buf(stream, &mut (&mut *buffer).limit(max_bytes)).await
 }
 
 /// Returns whether received bytes are unread. Asks the system, as the runtime may not have seen them yet.
@@ -122,3 +155,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
