--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test test-known-red lint run run-ingress run-authz trials scale
+.PHONY: build test test-known-red lint run run-ingress run-authz trials soak scale
 
 build:
 	cargo build --locked --release
@@ -31,6 +31,11 @@
 	cargo build --locked --release -p weldhub-trials
 	target/release/weldhub-trials play trials/scripts/*.toml
 
+# Fifty soaks drawn by seed, some twelve minutes; a few are part of the tests.
+soak: build
+	cargo build --locked --release -p weldhub-trials
+	target/release/weldhub-trials soak --seeds 50
+
 # What an ingress costs at several sizes, with bounded subsets of backends and without; some minutes. docs/CAPACITY.md
 scale: build
 	cargo build --locked --release -p weldhub-trials
