Count the time of a request that waits behind another from when it came

Callers that sent many requests at once on one connection got the answers one after the other, each with the client's whole time anew: the last of eight requests of 0.4 s with a timeout of 0.9 s was answered after 3.23 s.

--- a/src/net/server_side/connection.rs
+++ b/src/net/server_side/connection.rs
@@ -1,5 +1,6 @@
 //! A client's connection: reads its messages, and writes their answers, one after the other.
 
+use super::arrivals::Arrivals;
 use super::message::{ErrorAnswer, Message, Step, TOO_SLOW, close_reason};
 use super::response::{insert_keep_alive, put_served_head, put_text_answer, strip_body};
 use super::upload::{Upload, UploadResult};
@@ -41,6 +42,8 @@
     pub(super) over_limit: bool,
     /// Whether it has carried a request.
     pub(super) has_carried_request: Cell<bool>,
+    /// Whether bytes of the current message were read since the last answer.
+    pub(super) has_read: Cell<bool>,
 }
 
 /// Counts a connection with a long answer until it is dropped.
@@ -96,39 +99,52 @@
         // Counts until the next message, or until the connection is closed: the end of the process would cut off
         // what the system has not sent yet.
         let mut long_answer = None;
+        let mut arrivals = Arrivals::default();
         loop {
             let mut out = BytesMut::new();
+            let buffered = buffer.len();
+            self.has_read.set(false);
             reservation.hold(buffer.capacity());
             let mut reason = CloseReason::AfterAnswer;
-            let prepared =
-                match self.next_step(&mut stream, &mut buffer, &mut reservation, &mut message_start).await {
-                    Ok(Step::Message(message)) => {
-                        drop(long_answer.take());
-                        let prepared =
-                            self.answer(message, &mut stream, &mut buffer, &mut reservation, &mut out).await;
-                        let Some(prepared) = prepared else { return Some(CloseReason::ClientLeft) };
-                        prepared
-                    }
-                    Ok(Step::Drop(reason)) => return Some(reason),
-                    Ok(Step::Close(reason)) => {
-                        let _ = stream.shutdown().await;
-                        drop((buffer, reservation));
-                        self.linger(stream).await;
-                        return Some(reason);
-                    }
-                    Ok(Step::HandOver) => {
-                        let message_age =
-                            message_start.map(|start| self.shared.deadlines.clock().now() - start);
-                        let (bytes, has_carried_request) = (buffer, self.has_carried_request.get());
-                        let handover = ConnectionHandover { stream, bytes, has_carried_request, message_age };
-                        let _ = self.shared.handover.send(handover);
-                        return None;
-                    }
-                    Err(error) => {
-                        reason = close_reason(error);
-                        self.answer_error(&mut out, error)
+            let prepared = match self
+                .next_step(&mut stream, &mut buffer, &mut reservation, &mut message_start)
+                .await
+            {
+                Ok(Step::Message(message)) => {
+                    drop(long_answer.take());
+                    let arrived_at = match self.has_read.get() {
+                        true => None,
+                        false => arrivals.take(buffered - buffer.len()),
+                    };
+                    if arrived_at.is_none() {
+                        // What follows this message arrived with it.
+                        arrivals.clear();
+                        arrivals.record(buffer.len(), self.shared.deadlines.clock().now());
                     }
-                };
+                    let client = (&mut stream, &mut buffer, &mut reservation);
+                    let prepared = self.answer((message, arrived_at), client, &mut arrivals, &mut out).await;
+                    let Some(prepared) = prepared else { return Some(CloseReason::ClientLeft) };
+                    prepared
+                }
+                Ok(Step::Drop(reason)) => return Some(reason),
+                Ok(Step::Close(reason)) => {
+                    let _ = stream.shutdown().await;
+                    drop((buffer, reservation));
+                    self.linger(stream).await;
+                    return Some(reason);
+                }
+                Ok(Step::HandOver) => {
+                    let message_age = message_start.map(|start| self.shared.deadlines.clock().now() - start);
+                    let (bytes, has_carried_request) = (buffer, self.has_carried_request.get());
+                    let handover = ConnectionHandover { stream, bytes, has_carried_request, message_age };
+                    let _ = self.shared.handover.send(handover);
+                    return None;
+                }
+                Err(error) => {
+                    reason = close_reason(error);
+                    self.answer_error(&mut out, error)
+                }
+            };
             let PreparedAnswer { mut close, outcome, body, body_reservation, rest, unread, mut ahead } =
                 prepared;
             if !self.write(&mut stream, out.chain(body)).await {
@@ -138,7 +154,7 @@
             if let Some((rest, chunked)) = rest {
                 long_answer = Some(LongAnswer::begin(&self.shared.long_answers));
                 let client = (&mut stream, &mut buffer, &mut reservation);
-                match self.forward_answer(client, &mut ahead, rest, chunked).await {
+                match self.forward_answer(client, (&mut ahead, &mut arrivals), rest, chunked).await {
                     Forwarded::Complete => {}
                     Forwarded::Incomplete => {
                         if let Some((request, _)) = outcome {
@@ -156,6 +172,7 @@
                 request.ended(end);
             }
             if let Some(unread) = unread {
+                arrivals.clear();
                 close |= !self.discard_body(&mut stream, &mut buffer, unread).await;
             }
             if close || ahead.overflowed {
@@ -183,7 +200,7 @@
     async fn forward_answer(
         &self,
         (stream, buffer, reservation): (&mut TcpStream, &mut BytesMut, &mut Reservation),
-        ahead: &mut ReadAhead,
+        (ahead, arrivals): (&mut ReadAhead, &mut Arrivals),
         mut rest: BodyReceiver,
         chunked: bool,
     ) -> Forwarded {
@@ -191,7 +208,7 @@
             let piece = tokio::select! {
                 biased;
                 piece = rest.recv() => piece,
-                connected = self.watch_client(stream, buffer, ahead, reservation) => match connected {
+                connected = self.watch_client(stream, buffer, (ahead, arrivals), reservation) => match connected {
                     true => continue,
                     false => return Forwarded::ClientLeft,
                 },
@@ -232,7 +249,7 @@
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-        ahead: &mut ReadAhead,
+        (ahead, arrivals): (&mut ReadAhead, &mut Arrivals),
         reservation: &mut Reservation,
     ) -> bool {
         if !ahead.overflowed && buffer.len() < MAX_BUFFERED_MESSAGE_BYTES {
@@ -243,6 +260,7 @@
                 }
             }
             if let Some(read) = read_reserved(stream, buffer, reservation, 0).await {
+                arrivals.record(buffer.len(), self.shared.deadlines.clock().now());
                 return read.unwrap_or(false);
             }
         }
@@ -326,14 +344,13 @@
         }
     }
 
-    /// Answers a message. Writes the head and the first bytes of the body to `out`. Returns `None` if the
+    /// Answers a message that arrived at `arrived_at`, or just now. Writes the head to `out`. Returns `None` if the
     /// client has left.
     async fn answer(
         &self,
-        message: Message,
-        stream: &mut TcpStream,
-        buffer: &mut BytesMut,
-        reservation: &mut Reservation,
+        (message, arrived_at): (Message, Option<Millis>),
+        (stream, buffer, reservation): (&mut TcpStream, &mut BytesMut, &mut Reservation),
+        arrivals: &mut Arrivals,
         out: &mut BytesMut,
     ) -> Option<PreparedAnswer> {
         let shared = &self.shared;
@@ -380,6 +397,16 @@
                 // Prevents a request that arrives late while this process drains from being lost when it
                 // exits.
                 info.time_left = info.time_left.min(shared.drain_time_left());
+                let waited = arrived_at.map_or(0.0, |at| shared.deadlines.clock().now() - at);
+                if !unread {
+                    info.time_left -= waited;
+                }
+                if info.time_left <= 0.0 {
+                    let close = closes(false);
+                    put_text_answer(out, 504, "no answer in time", None, close);
+                    let request = shared.stats.request_started(info.class);
+                    return prepared(close, Some((request, RequestOutcome::Failed)));
+                }
                 let request = shared.stats.request_started(info.class);
                 let upload = match rest {
                     Some(decoder) => {
@@ -426,7 +453,9 @@
                             final_answer = &mut pending => break final_answer,
                             // A client that closes its connection has left. Dropping `pending` tells the
                             // engine.
-                            connected = self.watch_client(stream, buffer, &mut ahead, reservation) => {
+                            connected =
+                                self.watch_client(stream, buffer, (&mut ahead, arrivals), reservation) =>
+                            {
                                 if !connected {
                                     return None;
                                 }
--- a/src/net/server_side/message.rs
+++ b/src/net/server_side/message.rs
@@ -164,6 +164,7 @@
             if let Some((key, _)) = evictable {
                 shared.remove_evictable(key);
             }
+            self.has_read.set(true);
             match received {
                 Received::More => continue,
                 Received::End => return Ok(HeadStep::Other(Step::Drop(CloseReason::ClientLeft))),
@@ -249,6 +250,7 @@
             if let Some((key, _)) = evictable {
                 shared.remove_evictable(key);
             }
+            self.has_read.set(true);
             match received {
                 Received::More => {}
                 Received::End => return Ok(Step::Drop(CloseReason::ClientLeft)),
--- a/src/net/server_side/mod.rs
+++ b/src/net/server_side/mod.rs
@@ -2,6 +2,7 @@
 //! the final answers from the exchange and writes them. What a request means is decided by the front, in
 //! `fronts::platform`.
 
+mod arrivals;
 mod connection;
 mod eviction;
 mod message;
@@ -304,6 +305,7 @@
             shared: shared.clone(),
             over_limit: false,
             has_carried_request: Cell::new(has_carried_request),
+            has_read: Cell::default(),
         };
         spawn_local(connection.run(stream, bytes, message_start));
     }
@@ -314,8 +316,12 @@
         let over_limit = shared.open.get() >= shared.limits.max_connections;
         shared.open.set(shared.open.get() + 1);
         let message_start = Some(shared.deadlines.clock().now());
-        let connection =
-            Connection { shared: shared.clone(), over_limit, has_carried_request: Cell::new(false) };
+        let connection = Connection {
+            shared: shared.clone(),
+            over_limit,
+            has_carried_request: Cell::new(false),
+            has_read: Cell::default(),
+        };
         spawn_local(connection.run(stream, BytesMut::new(), message_start));
     }
 }
--- a/tests/slow_answers.rs
+++ b/tests/slow_answers.rs
@@ -197,3 +197,24 @@
         assert_eq!(status(&client.answer().await.unwrap()), 200);
     });
 }
+
+/// Guards against requests that a client sends at once being given the client's whole time one after the other: each is
+/// due as long after it was written.
+#[test]
+fn requests_that_are_sent_at_once_are_each_answered_in_time() {
+    local(async {
+        let pace = Pace { work: Duration::from_millis(400), ..Pace::default() };
+        let site = Site::start("at-once", pace).await;
+        let mut client = Client::new(site.listen).await;
+        let requests: String = (0..8).map(|n| board(&format!("at-once-{n}"), 900, 1)).collect();
+        client.send(&requests).await;
+        let written_at = Instant::now();
+        let mut statuses = Vec::new();
+        for _ in 0..8 {
+            statuses.push(status(&client.answer().await.unwrap()));
+        }
+        let after = written_at.elapsed();
+        assert!(after < Duration::from_millis(900) + LATE, "the last of {statuses:?} came after {after:?}");
+        assert_eq!(statuses[0], 200);
+    });
+}
