Let services of Consul share an address

The whole test run showed that tests/consul.rs failed after the change of how processes are known: where Consul lists one address under ids of two services, both count. The rule that an address belongs to the backend that was told of last now holds for the platform's discovery only.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -121,7 +121,8 @@
 pub struct Engine<Q, A> {
     limiter: Limiter,
     maintenance: Maintenance,
-    address_owners: AddressOwners,
+    /// Which listed backend an address belongs to; `None` if several may share one.
+    address_owners: Option<AddressOwners>,
     start_times: StartTimes,
     /// The subset of the list that this ingress uses, or `None` if it uses the whole list.
     subset: Option<Subset>,
@@ -163,7 +164,7 @@
         Self {
             limiter,
             maintenance,
-            address_owners: AddressOwners::default(),
+            address_owners: None,
             start_times: StartTimes::default(),
             subset: None,
             deadlines,
@@ -190,6 +191,19 @@
         self
     }
 
+    /// Has an address belong to the backend that the list told of last. Services of Consul may share one.
+    pub fn with_address_owners(mut self, exclusive: bool) -> Self {
+        self.address_owners = exclusive.then(AddressOwners::default);
+        self
+    }
+
+    fn apply_owners(&mut self, list: BackendList) -> BackendList {
+        match &mut self.address_owners {
+            Some(owners) => owners.apply_list(list),
+            None => list,
+        }
+    }
+
     /// Counts refusals, retries and ends of attempts in `stats`.
     pub fn with_stats(mut self, stats: Arc<Stats>) -> Self {
         self.stats = stats;
@@ -362,7 +376,7 @@
             Err(why) => warn!(self.log, "what the old process knew was passed over"; "why" => why),
         }
         if !self.list_received && !state.list.entries.is_empty() {
-            let list = self.address_owners.apply_list(state.list);
+            let list = self.apply_owners(state.list);
             self.maintenance.apply_list(list);
         }
         let mut list = self.maintenance.discovered_list();
@@ -402,7 +416,7 @@
     /// Applies a list from discovery, without the backends that operators have disabled.
     fn apply_list(&mut self, mut list: BackendList, kind: ListKind) {
         self.start_times.convert(&mut list, self.deadlines.clock().now(), wall_clock());
-        let list = self.address_owners.apply_list(list);
+        let list = self.apply_owners(list);
         let list = self.maintenance.apply_list(list);
         self.apply_change(list, kind);
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -255,6 +255,7 @@
         let (successor, ended_attempts) = mpsc::unbounded_channel();
         let role = watch::Sender::new(role);
         let (local_notices, notices_receiver) = mpsc::unbounded_channel();
+        let uses_consul = witness.is_some();
         let mut outputs =
             Outputs { commands, counter: None, successor, peers: None, local_notices: None, witness };
         let mut essential_tasks = JoinSet::new();
@@ -336,7 +337,7 @@
         let engine =
             Engine::new((limiter, maintenance), deadlines.clone(), events, outputs, limits, log.clone());
         let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
-        let engine = engine.with_subset(subset).with_stats(stats.clone());
+        let engine = engine.with_subset(subset).with_stats(stats.clone()).with_address_owners(!uses_consul);
         essential_tasks.spawn_local(engine.run(known));
         let other_process = OtherProcess::default();
         essential_tasks.spawn_local(close_after_announcement(drain.clone(), deadlines.clone()));
