--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -4,9 +4,10 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -156,9 +157,13 @@
     }
 }
 
-/// Returns a loopback address with a port that is free.
+/// Returns an address with a port that is free. Each is a loopback address of its own, so that no other run and no
+/// connection of this one takes the port before a process listens there.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, high.clamp(1, 254), low, NEXT.fetch_add(1, Ordering::Relaxed));
+    TcpListener::bind((host, 0)).unwrap().local_addr().unwrap()
 }
 
 pub fn sleep(millis: u64) {
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -5,7 +5,7 @@
 mod backends;
 mod client_pods;
 mod common;
-mod consul_silence;
+mod consul_return;
 mod grpc;
 mod upgrade_ban;
 
@@ -22,7 +22,7 @@
         "authz-half" => authz::half,
         "authz-memory" => authz::memory,
         "client-pods" => client_pods::run,
-        "consul-silence" => consul_silence::run,
+        "consul-return" => consul_return::run,
         "upgrade-ban" => upgrade_ban::run,
         _ => return ExitCode::from(2),
     };
