Review 2: a body in chunks to a backend that reads slowly is answered 8 s too late

Cause: the end of a body in chunks counts only once it has been read, and no more than 8 MiB are read ahead of the backend; until then no deadline runs.

The stand-ins keep only what the cases use.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$folder/../.." && pwd) || exit 2
 program="$root/target/review-2/review-2"
 [ -x "$program" ] || exit 2
-exec "$program" client-pods "$root" "$folder"
+exec "$program" slow-upload "$root" "$folder"
--- a/review/lib-2/authz.rs
+++ b/review/lib-2/authz.rs
@@ -149,7 +149,9 @@
 /// Returns a figure of a process in kB, such as `VmHWM`, the most memory that it has had.
 fn memory_kb(id: u32, name: &str) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-    status.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':')?.split_whitespace().next()?.parse().ok())
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(':')?.split_whitespace().next()?.parse().ok())
 }
 
 /// The number of bad callers that send requests, and of requests that each sends at once: hundreds.
@@ -182,7 +184,8 @@
             }
             open.push(stream);
             let peak = memory_kb(front.id, "VmHWM");
-            case.record.line(format!("bad caller {number} has sent {sent} heads; most memory so far {peak:?} kB"));
+            case.record
+                .line(format!("bad caller {number} has sent {sent} heads; most memory so far {peak:?} kB"));
             if over(peak) || peak.is_none() {
                 break;
             }
--- a/review/lib-2/backends.rs
+++ b/review/lib-2/backends.rs
@@ -1,73 +1,42 @@
 //! Backends of the platform's protocol, and the configurations of ingresses before them.
 
 use crate::common::*;
-use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
 
-/// What a backend has begun: when, which backend of which cell, and the idempotency key.
+/// What a backend has begun, and when.
 #[derive(Debug, Clone)]
 pub struct Begun {
     pub at: u64,
     pub backend: String,
-    pub cell: u32,
-    pub key: String,
-    /// Whether it ran: the backends of one cell drop a repeat of a key.
-    pub ran: bool,
 }
 
 /// Some backends, and what they have begun.
 #[derive(Clone, Default)]
 pub struct Backends {
-    pub begun: Arc<Mutex<Vec<Begun>>>,
-    /// When each key first ran in each cell.
-    keys: Arc<Mutex<HashMap<(u32, String), Instant>>>,
+    begun: Arc<Mutex<Vec<Begun>>>,
     pub listed: Vec<Listed>,
 }
 
-/// For how long the backends of a cell drop a repeat.
-const WINDOW: Duration = Duration::from_secs(6);
-
 impl Backends {
-    /// Starts backends that work for `work` milliseconds on each request. `cells` has the cell of each.
-    pub fn start(record: &Record, cells: &[u32], work: u64) -> Self {
+    /// Starts `count` backends, `s-0` and on, that work for `work` milliseconds on each request.
+    pub fn start(record: &Record, count: usize, work: u64) -> Self {
         let mut backends = Self::default();
-        for (i, cell) in cells.iter().enumerate() {
+        for i in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             let id = format!("s-{i}");
             let address = listener.local_addr().unwrap();
-            backends.listed.push(Listed { id: id.clone(), address, cell: *cell, lifecycle: "in_service" });
-            let (begun, keys, record, cell) =
-                (backends.begun.clone(), backends.keys.clone(), record.clone(), *cell);
+            backends.listed.push(Listed { id: id.clone(), address });
+            let (begun, record) = (backends.begun.clone(), record.clone());
             serve(listener, move |mut stream| {
                 let _ = stream.set_nodelay(true);
                 let Ok(clone) = stream.try_clone() else { return };
                 let mut reader = BufReader::new(clone);
                 while let Some(request) = read_http(&mut reader) {
-                    let (path, key) = (request.target().to_owned(), request.header("idempotency-key").to_owned());
-                    let now = Instant::now();
-                    let ran = key.is_empty() || {
-                        let mut keys = keys.lock().unwrap();
-                        let first = keys.entry((cell, key.clone())).or_insert(now);
-                        let repeat = *first != now && now - *first < WINDOW;
-                        if !repeat {
-                            *first = now;
-                        }
-                        !repeat
-                    };
-                    record.line(format!(
-                        "{id} (cell {cell}) begins {path} id {} key {key}, runs: {ran}",
-                        request.header("request-id")
-                    ));
-                    begun.lock().unwrap().push(Begun {
-                        at: record.now(),
-                        backend: id.clone(),
-                        cell,
-                        key,
-                        ran,
-                    });
+                    let path = request.target().to_owned();
+                    record.line(format!("{id} begins {path} id {}", request.header("request-id")));
+                    begun.lock().unwrap().push(Begun { at: record.now(), backend: id.clone() });
                     sleep(work);
                     let body = format!("{id} {path}");
                     let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -16,7 +16,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 /// The record of a run: what was sent, answered and run, with times in milliseconds from its start.
@@ -74,7 +73,13 @@
     }
 
     /// Starts a process with a command of the deploy file (`key`), as `/bin/sh -c` from the root. Returns its id.
-    pub fn deploy(&self, name: &str, key: &str, arguments: &str, environment: &[(&str, &str)]) -> Option<u32> {
+    pub fn deploy(
+        &self,
+        name: &str,
+        key: &str,
+        arguments: &str,
+        environment: &[(&str, &str)],
+    ) -> Option<u32> {
         let deploy = std::fs::read_to_string(self.root.join("deploy/balancer.toml")).ok()?;
         let line = deploy.lines().find(|line| line.starts_with(&format!("{key} =")))?;
         let command = line.split('"').nth(1)?;
@@ -144,8 +149,12 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let mut logs: Vec<_> =
-            std::fs::read_dir(&self.folder).into_iter().flatten().flatten().map(|entry| entry.path()).collect();
+        let mut logs: Vec<_> = std::fs::read_dir(&self.folder)
+            .into_iter()
+            .flatten()
+            .flatten()
+            .map(|entry| entry.path())
+            .collect();
         logs.sort();
         for log in logs.iter().filter(|path| path.extension().is_some_and(|e| e == "log")) {
             let name = log.file_stem().unwrap_or_default().to_string_lossy().into_owned();
@@ -287,15 +296,13 @@
 pub struct Listed {
     pub id: String,
     pub address: SocketAddr,
-    pub cell: u32,
-    pub lifecycle: &'static str,
 }
 
 fn entry(listed: &Listed) -> String {
     format!(
-        "{{\"instanceId\":\"{}\",\"hostPort\":\"{}\",\"zone\":\"north-hall\",\"machineType\":\"gen-a\",\"cell\":{},\
-         \"lifecycle\":\"{}\",\"weight\":1.0,\"startedAtMs\":0}}",
-        listed.id, listed.address, listed.cell, listed.lifecycle
+        "{{\"instanceId\":\"{}\",\"hostPort\":\"{}\",\"zone\":\"north-hall\",\"machineType\":\"gen-a\",\"cell\":0,\
+         \"lifecycle\":\"in_service\",\"weight\":1.0,\"startedAtMs\":0}}",
+        listed.id, listed.address
     )
 }
 
--- a/review/lib-2/consul_return.rs
+++ b/review/lib-2/consul_return.rs
@@ -120,7 +120,7 @@
 }
 
 pub fn run(case: &Case) -> Verdict {
-    let backends = Backends::start(&case.record, &[0, 0, 0], 60);
+    let backends = Backends::start(&case.record, 3, 60);
     let state = Arc::new(Mutex::new(State { critical: false, index: 7, open: Vec::new() }));
     let at = free_address();
     let start = || agent(at, state.clone(), backends.listed.clone(), case.record.clone());
--- a/review/lib-2/grpc.rs
+++ b/review/lib-2/grpc.rs
@@ -155,7 +155,12 @@
                         let text = String::from_utf8_lossy(&body).into_owned();
                         let id: String = text
                             .find("check-")
-                            .map(|at| text[at..].chars().take_while(|c| c.is_ascii_alphanumeric() || *c == '-').collect())
+                            .map(|at| {
+                                text[at..]
+                                    .chars()
+                                    .take_while(|c| c.is_ascii_alphanumeric() || *c == '-')
+                                    .collect()
+                            })
                             .unwrap_or_default();
                         record.line(format!("authoriser: {id} begun"));
                         let (writer, record, stream) = (writer.clone(), record.clone(), frame.stream);
@@ -225,7 +230,10 @@
     pub fn check(&mut self, request: &[u8], timeout: u64, slack: u64) -> Ended {
         let id = self.next_stream;
         self.next_stream += 2;
-        let bytes = [encode(HEADERS, END_HEADERS, id, &check_head(timeout)), encode(DATA, END_STREAM, id, &message(request))];
+        let bytes = [
+            encode(HEADERS, END_HEADERS, id, &check_head(timeout)),
+            encode(DATA, END_STREAM, id, &message(request)),
+        ];
         if self.stream.write_all(&bytes.concat()).is_err() {
             // Its last byte was not written.
             return Ended::NotLookedAt;
@@ -240,7 +248,9 @@
             let _ = self.stream.set_read_timeout(Some(left));
             let frame = match read_frame(&mut self.stream) {
                 Ok(frame) => frame,
-                Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+                {
                     return Ended::Late { silent: !self.heard };
                 }
                 Err(_) if !looked_at => return Ended::NotLookedAt,
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -3,10 +3,10 @@
 
 mod authz;
 mod backends;
-mod client_pods;
 mod common;
 mod consul_return;
 mod grpc;
+mod slow_upload;
 mod upgrade_ban;
 
 use common::{Case, Verdict};
@@ -21,8 +21,8 @@
     let run: fn(&Case) -> Verdict = match name.as_str() {
         "authz-half" => authz::half,
         "authz-memory" => authz::memory,
-        "client-pods" => client_pods::run,
         "consul-return" => consul_return::run,
+        "slow-upload" => slow_upload::run,
         "upgrade-ban" => upgrade_ban::run,
         _ => return ExitCode::from(2),
     };
--- a/review/lib-2/upgrade_ban.rs
+++ b/review/lib-2/upgrade_ban.rs
@@ -16,7 +16,7 @@
 const GRACE: u64 = 1000 + 250 + 50;
 
 pub fn run(case: &Case) -> Verdict {
-    let backends = Backends::start(&case.record, &[0, 0, 0], 70);
+    let backends = Backends::start(&case.record, 3, 70);
     let list = list_json(41, &backends.listed);
     let (agent, silence) = (TcpListener::bind("127.0.0.1:0").unwrap(), Arc::new(Mutex::new(None)));
     let agent_at = agent.local_addr().unwrap();
