--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -55,8 +55,9 @@
 impl Case {
     /// Creates the case of the folder `folder`, with an empty temporary folder of its own.
     pub fn new(root: &str, folder: &str) -> std::io::Result<Self> {
-        let unique = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
-        let temporary = std::env::temp_dir().join(format!("review-{}-{unique}", std::process::id()));
+        // Short, as the path of a Unix socket has 107 bytes at most.
+        let unique = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().subsec_micros();
+        let temporary = std::env::temp_dir().join(format!("r2-{}-{unique}", std::process::id()));
         std::fs::create_dir_all(&temporary)?;
         let file = File::create(Path::new(folder).join("record.txt"))?;
         let record = Record(Arc::new((Mutex::new(file), Instant::now())));
--- a/review/lib-2/upgrade_ban.rs
+++ b/review/lib-2/upgrade_ban.rs
@@ -23,7 +23,7 @@
     discovery(agent, list.clone(), silence.clone());
     let (listen, old_door, new_door) = (free_address(), free_address(), free_address());
     let path = case.write("config.json", &platform_configuration((1, 0), (listen, agent_at), &list));
-    let shared = case.folder.join("tmp");
+    let shared = case.folder.join("t");
     std::fs::create_dir_all(&shared).unwrap();
     let shared = shared.to_string_lossy().into_owned();
     let start = |name: &str, door: std::net::SocketAddr| {
