--- a/src/net/server_side/upload.rs
+++ b/src/net/server_side/upload.rs
@@ -14,6 +14,7 @@
 use crate::net::server_side::Drain;
 use crate::net::stream::{is_closed, read_piece, unread_bytes};
 use bytes::{Bytes, BytesMut};
+use slog::debug;
 use std::collections::VecDeque;
 use std::io;
 use std::io::ErrorKind;
@@ -76,7 +77,9 @@
                     WriteState::Pending => BodyProgress::Pending,
                     WriteState::MayBeWritten(at) => BodyProgress::MayBeWritten(Written { at, max_time }),
                     WriteState::Received => {
-                        let at = written_at.unwrap_or_else(|| clock.now());
+                        let now = clock.now();
+                        let at = written_at.unwrap_or(now);
+                        self.shared.stats.body_end_read(now - at);
                         BodyProgress::Received(Written { at, max_time })
                     }
                 });
@@ -178,6 +181,11 @@
             && ahead <= MAX_READ_AHEAD_BYTES
             && reservation.try_resize_read_ahead(ahead + 2 * MAX_PIECE_BYTES);
         if !reads {
+            if upload.length.is_none() && !upload.body.is_done() {
+                self.shared.stats.read_ahead_limited();
+                debug!(self.shared.log, "no more of a body is read ahead";
+                    "read" => upload.read, "held" => ahead, "unread" => unread_bytes(stream));
+            }
             self.client_left(stream).await;
             return Ok(None);
         }
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -2,6 +2,7 @@
 
 mod memory;
 mod reasons;
+mod uploads;
 
 pub use memory::MemoryOwner;
 pub use reasons::{CloseReason, RefusalReason};
@@ -12,6 +13,7 @@
 use std::fmt::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use uploads::UploadCounters;
 
 /// How a request ended, if its client waited for the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,6 +57,7 @@
     consul: ConsulStats,
     reasons: Reasons,
     memory: MemoryGauges,
+    uploads: UploadCounters,
 }
 
 /// The numbers of backends.
@@ -104,6 +107,16 @@
         self.reasons.retried_after(outcome);
     }
 
+    /// Counts a request's body of which no more could be read ahead of its backend.
+    pub fn read_ahead_limited(&self) {
+        self.uploads.read_ahead_limited();
+    }
+
+    /// Records that the last byte of a request's body was read `delay` milliseconds after its client may have written it.
+    pub fn body_end_read(&self, delay: Millis) {
+        self.uploads.end_read(delay);
+    }
+
     /// Sets the number of bytes that an owner holds.
     pub fn set_memory(&self, owner: MemoryOwner, bytes: usize) {
         self.memory.set(owner, bytes);
@@ -138,6 +151,7 @@
         self.consul.write(&mut text, now);
         self.reasons.write(&mut text);
         self.memory.write(&mut text);
+        self.uploads.write(&mut text);
         text
     }
 }
