Answer a long body in chunks in time although its end lies beyond what may be read

Cause: the end of a body in chunks is known only once it has been read, and only that started the request's deadlines. No more than 8 MiB and half of the memory for messages are read ahead of a backend, so the rest waits with the system, for as long as the backend takes. Bodies with a length were not hit: their deadline runs from when the rest fits into the client's buffers.

Change: where a body in chunks can be read no further ahead, each unread byte may be its last one, and the client's time runs from the earliest time at which it can have written that one: what was known to be unread then and the 4 MiB of its system's buffers, as for bodies with a length. Once half of that time is over the body is read as far ahead as the memory allows, up to the largest body, before it is given up: most of those who had more to write are told apart so. A wait that brings nothing stops the deadlines, as before, so a client that has not ended its body is not late. What is unread is looked at each 0.1 s while a backend takes nothing, as no piece came round to tell; so is the end of a body that is held until its first attempt.

--- a/src/net/server_side/connection.rs
+++ b/src/net/server_side/connection.rs
@@ -445,11 +445,12 @@
                         None
                     }
                 };
+                let client_timeout = info.time_left;
                 let mut pending = shared.exchange.submit(info, question);
                 let (mut early, mut unread) = (None, None);
                 if let Some((mut body, sender)) = upload {
                     let reporter = pending.body_reporter();
-                    let upload = Upload::new(&mut body, head.body_length(), read, sender);
+                    let upload = Upload::new(&mut body, (head.body_length(), read), client_timeout, sender);
                     let upload = self.forward_body(stream, buffer, reservation, upload, reporter);
                     let result = tokio::select! {
                         biased;
--- a/src/net/server_side/mod.rs
+++ b/src/net/server_side/mod.rs
@@ -8,6 +8,7 @@
 mod message;
 mod response;
 mod upload;
+mod upload_progress;
 mod write_time;
 
 pub use response::retry_after_seconds;
--- a/src/net/server_side/upload.rs
+++ b/src/net/server_side/upload.rs
@@ -3,14 +3,15 @@
 use super::ParsedRequest;
 use super::connection::Connection;
 use super::message::{ErrorAnswer, TOO_SLOW, error_answer};
+use super::upload_progress::{UploadProgress, WriteState};
 use super::write_time::WriteTime;
 use super::{MAX_READ_AHEAD_BYTES, SCRATCH_BYTES};
-use crate::exchange::{BodyProgress, BodyReporter, Written};
+use crate::exchange::BodyReporter;
 use crate::interface::Millis;
 use crate::net::body_channel::BodyPiece;
 use crate::net::budget::{MAX_PIECE_BYTES, Reservation};
 use crate::net::client_side::{Answer, Question};
-use crate::net::http::{BodyDecoder, Head, ParseError, join};
+use crate::net::http::{BodyDecoder, Head, MAX_BODY_BYTES, ParseError, join};
 use crate::net::server_side::Drain;
 use crate::net::stream::{is_closed, read_piece, unread_bytes};
 use bytes::{Bytes, BytesMut};
@@ -30,6 +31,8 @@
 /// The minimum average rate at which a client must send a body after the grace period, in bytes per
 /// millisecond.
 const MIN_BODY_BYTES_PER_MS: f64 = 16.0;
+/// The interval at which a body that is not read is checked for how much of it has arrived, in milliseconds.
+const UNREAD_POLL_INTERVAL: Millis = 100.0;
 /// The number of bytes of a chunked body that are read at a time to be discarded.
 const DISCARDED_CHUNK_BYTES: usize = 4096;
 
@@ -61,33 +64,19 @@
         self.buffers.borrow_mut().grow_receive(stream, upload.length);
         let mut started = clock.now();
         let receive_buffer_bytes = self.buffers.borrow().receive_bytes();
-        let mut write_time = WriteTime::new(started, upload.read, receive_buffer_bytes);
+        let mut progress =
+            UploadProgress::new(WriteTime::new(started, upload.read, receive_buffer_bytes), reporter);
         loop {
             let piece_bytes = reservation.reserve_pieces(upload.queued_bytes);
             if let Err(error) = upload.decode_piece(buffer, piece_bytes) {
                 return UploadResult::Invalid(error_answer(error));
             }
             let unread = unread_bytes(stream);
-            let written_at = write_time.earliest_end(upload.length.unwrap_or(upload.read));
-            // While nothing is unread, the client may have written no more, which the wait for it will show.
-            let may_be_written = written_at.filter(|_| unread > 0 || upload.may_be_written());
-            if let Some(state) = upload.changed_state(may_be_written) {
-                let max_time = self.shared.drain_time_left();
-                reporter.report(match state {
-                    WriteState::Pending => BodyProgress::Pending,
-                    WriteState::MayBeWritten(at) => BodyProgress::MayBeWritten(Written { at, max_time }),
-                    WriteState::Received => {
-                        let now = clock.now();
-                        let at = written_at.unwrap_or(now);
-                        self.shared.stats.body_end_read(now - at);
-                        BodyProgress::Received(Written { at, max_time })
-                    }
-                });
-            }
+            self.report_progress(&mut progress, &upload, unread);
             if let Some(piece) = upload.next_piece() {
                 let (before, is_end) = (clock.now(), piece == BodyPiece::End);
                 let sending =
-                    self.send_piece(stream, buffer, reservation, &mut upload, &mut write_time, piece);
+                    self.send_piece(stream, buffer, reservation, (&mut upload, &mut progress), piece);
                 match sending.await {
                     // An attempt whose body has a known length reads no `End`, and may have dropped its
                     // receiver.
@@ -104,11 +93,10 @@
             }
             let within = self.body_read_timeout(started, upload.read);
             let wait_began = clock.now();
-            if unread == 0 && upload.may_be_written() {
-                let conclusive_wait = write_time.conclusive_wait(wait_began, upload.read);
+            if unread == 0 && progress.may_be_written() {
+                let conclusive_wait = progress.write_time.conclusive_wait(wait_began, upload.read);
                 if deadlines.within(conclusive_wait, stream.peek(&mut [0])).await.is_none() {
-                    upload.state = WriteState::Pending;
-                    reporter.report(BodyProgress::Pending);
+                    progress.report(WriteState::Pending, self.shared.drain_time_left());
                 }
             }
             let read = tokio::select! {
@@ -121,8 +109,8 @@
                 _ => return UploadResult::ClientLeft,
             };
             match unread {
-                0 => write_time.waited(wait_began..clock.now(), upload.read, n),
-                _ => write_time.received(clock.now(), upload.read + n, || unread_bytes(stream)),
+                0 => progress.write_time.waited(wait_began..clock.now(), upload.read, n),
+                _ => progress.write_time.received(clock.now(), upload.read + n, || unread_bytes(stream)),
             }
             upload.read += n;
         }
@@ -137,8 +125,7 @@
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         reservation: &mut Reservation,
-        upload: &mut Upload<'_>,
-        write_time: &mut WriteTime,
+        (upload, progress): (&mut Upload<'_>, &mut UploadProgress),
         piece: BodyPiece,
     ) -> SendResult {
         let pieces = upload.pieces.clone();
@@ -146,15 +133,19 @@
             tokio::select! {
                 biased;
                 permit = pieces.reserve() => break permit,
-                more = self.read_ahead(stream, buffer, reservation, upload) => match more {
+                more = self.read_ahead(stream, buffer, reservation, (&mut *upload, &mut *progress)) => match more {
                     Ok(Some(n)) if n > 0 => upload.read += n,
                     _ => return SendResult::ClientLeft,
                 },
             }
-            write_time.received(self.shared.deadlines.clock().now(), upload.read, || unread_bytes(stream));
+            let now = self.shared.deadlines.clock().now();
+            progress.write_time.received(now, upload.read, || unread_bytes(stream));
             if let Err(error) = upload.decode_all(buffer) {
                 return SendResult::Invalid(error);
             }
+            if upload.is_received() {
+                self.report_progress(progress, upload, 0);
+            }
         };
         let Ok(permit) = permit else { return SendResult::ReceiverClosed };
         if self.has_left(stream).await || upload.is_last_piece() && is_closed(stream) {
@@ -167,29 +158,74 @@
 
     /// Waits until more of a body has been read, and returns the number of its bytes; `None` once its client has left.
     /// The body is read only while it waits for its first attempt, or if its end is not known otherwise, and only as far
-    /// as the memory budget allows.
+    /// as the memory budget allows. What stays unread is reported meanwhile: the last byte of the body may be in it.
     async fn read_ahead(
         &self,
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
         reservation: &mut Reservation,
-        upload: &Upload<'_>,
+        (upload, progress): (&mut Upload<'_>, &mut UploadProgress),
     ) -> io::Result<Option<usize>> {
-        let ahead = upload.queued_bytes + buffer.len();
-        let reads = (upload.waits_for_attempt() || upload.length.is_none())
-            && !upload.body.is_done()
-            && ahead <= MAX_READ_AHEAD_BYTES
-            && reservation.try_resize_read_ahead(ahead + 2 * MAX_PIECE_BYTES);
-        if !reads {
-            if upload.length.is_none() && !upload.body.is_done() {
-                self.shared.stats.read_ahead_limited();
-                debug!(self.shared.log, "no more of a body is read ahead";
-                    "read" => upload.read, "held" => ahead, "unread" => unread_bytes(stream));
+        loop {
+            let may_read = self.may_read_ahead(upload, progress, buffer.len(), reservation);
+            if !may_read && upload.length.is_none() && !upload.is_received() {
+                self.note_read_ahead_limit(stream, upload, progress);
+            }
+            let unread = unread_bytes(stream);
+            progress.write_time.unread(self.shared.deadlines.clock().now(), upload.read, unread);
+            self.report_progress(progress, upload, unread);
+            if may_read {
+                return read_piece(stream, buffer, MAX_PIECE_BYTES).await.map(Some);
             }
-            self.client_left(stream).await;
-            return Ok(None);
+            let left = self.shared.deadlines.within(UNREAD_POLL_INTERVAL, self.client_left(stream)).await;
+            if left.is_some() {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Returns whether more of a body may be read before its backend takes it. If so, `reservation` pays for a piece more
+    /// than the `buffered` bytes and those in the queue.
+    fn may_read_ahead(
+        &self,
+        upload: &Upload<'_>,
+        progress: &UploadProgress,
+        buffered: usize,
+        reservation: &mut Reservation,
+    ) -> bool {
+        let ahead = upload.queued_bytes + buffered;
+        let now = self.shared.deadlines.clock().now();
+        // The client is owed its answer soon if the last byte is among those that are unread.
+        let is_urgent = progress.written_at(upload).is_some_and(|at| now >= at + upload.client_timeout / 2.0);
+        let max_ahead =
+            if upload.length.is_none() && is_urgent { MAX_BODY_BYTES } else { MAX_READ_AHEAD_BYTES };
+        (upload.waits_for_attempt() || upload.length.is_none())
+            && !upload.body.is_done()
+            && ahead <= max_ahead
+            && reservation.try_resize_read_ahead(ahead + 2 * MAX_PIECE_BYTES)
+    }
+
+    /// Records that a body of unknown length can be read no further ahead.
+    fn note_read_ahead_limit(&self, stream: &TcpStream, upload: &Upload<'_>, progress: &mut UploadProgress) {
+        if std::mem::replace(&mut progress.is_end_out_of_reach, true) {
+            return;
+        }
+        self.shared.stats.read_ahead_limited();
+        debug!(self.shared.log, "no more of a body is read ahead";
+            "read" => upload.read, "held" => upload.queued_bytes, "unread" => unread_bytes(stream));
+    }
+
+    /// Reports how far the client of a body has written it, if that has changed. `unread` is the number of received bytes
+    /// that have not been read.
+    fn report_progress(&self, progress: &mut UploadProgress, upload: &Upload<'_>, unread: usize) {
+        progress.is_end_out_of_reach &= unread > 0;
+        let state = progress.current_state(upload, unread);
+        if let WriteState::Received(at) = state
+            && state != progress.state
+        {
+            self.shared.stats.body_end_read(self.shared.deadlines.clock().now() - at);
         }
-        read_piece(stream, buffer, MAX_PIECE_BYTES).await.map(Some)
+        progress.report(state, self.shared.drain_time_left());
     }
 
     /// Reads and discards the rest of a body whose request was answered before it was complete, as long as it
@@ -260,11 +296,11 @@
 pub(super) struct Upload<'a> {
     body: &'a mut BodyDecoder,
     /// The length of the whole body in bytes; `None` if the head does not announce it.
-    length: Option<usize>,
+    pub(super) length: Option<usize>,
     /// The number of bytes of the body that have been received, with their framing.
-    read: usize,
-    /// What was reported last.
-    state: WriteState,
+    pub(super) read: usize,
+    /// How long the client waits for its answer after the last byte, in milliseconds.
+    client_timeout: Millis,
     pieces: mpsc::Sender<BodyPiece>,
     /// The number of pieces sent to the channel, which buffers one that the attempt has not received.
     sent: usize,
@@ -277,18 +313,19 @@
 }
 
 impl<'a> Upload<'a> {
-    /// Creates an upload of which `read` bytes have been received.
+    /// Creates an upload of which `read` bytes have been received. `client_timeout` is how long its client waits for the
+    /// answer after the last byte, in milliseconds.
     pub(super) fn new(
         body: &'a mut BodyDecoder,
-        length: Option<usize>,
-        read: usize,
+        (length, read): (Option<usize>, usize),
+        client_timeout: Millis,
         pieces: mpsc::Sender<BodyPiece>,
     ) -> Self {
         Self {
             body,
             length,
             read,
-            state: WriteState::Pending,
+            client_timeout,
             pieces,
             sent: 0,
             queue: VecDeque::new(),
@@ -297,25 +334,19 @@
         }
     }
 
-    /// Returns how far the client has written the body, if that has changed. `written_at` is the time at which it may have
-    /// written the last byte, if it may.
-    fn changed_state(&mut self, written_at: Option<Millis>) -> Option<WriteState> {
-        let state = match written_at {
-            _ if self.body.is_done() => WriteState::Received,
-            Some(at) if self.length.is_some() => WriteState::MayBeWritten(at),
-            _ => WriteState::Pending,
-        };
-        (std::mem::replace(&mut self.state, state) != state).then_some(state)
+    /// Returns whether, as far as is known, no attempt has received any of the body.
+    pub(super) fn waits_for_attempt(&self) -> bool {
+        self.sent <= 1
     }
 
-    /// Returns whether it was reported that the client may have written the whole body.
-    fn may_be_written(&self) -> bool {
-        matches!(self.state, WriteState::MayBeWritten(_))
+    /// Returns whether the last byte of the body has been received.
+    pub(super) fn is_received(&self) -> bool {
+        self.body.is_done()
     }
 
-    /// Returns whether, as far as is known, no attempt has received any of the body.
-    fn waits_for_attempt(&self) -> bool {
-        self.sent <= 1
+    /// Returns whether more than one piece is held until an attempt receives the body.
+    pub(super) fn is_held_for_attempt(&self) -> bool {
+        self.waits_for_attempt() && self.queue.len() > 1
     }
 
     /// Decodes a piece of at most `max_bytes` if none is queued.
@@ -371,17 +402,6 @@
     }
 }
 
-/// How far the client has written a body.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum WriteState {
-    /// Not to its end.
-    Pending,
-    /// Its last byte may have been written at this time, but has not been received.
-    MayBeWritten(Millis),
-    /// Its last byte has been received.
-    Received,
-}
-
 /// The result of sending a piece of a body.
 enum SendResult {
     /// The piece is in the channel.
--- a/src/net/server_side/write_time.rs
+++ b/src/net/server_side/write_time.rs
@@ -91,7 +91,18 @@
             return;
         }
         self.sampled_at = received;
-        let written = received + unread();
+        self.push(now, received + unread());
+    }
+
+    /// Records that at `now`, when `received` bytes have been received, `unread` more had arrived.
+    pub(super) fn unread(&mut self, now: Millis, received: usize, unread: usize) {
+        let written = received + unread;
+        if self.samples.back().is_none_or(|(_, last)| written >= last + SAMPLE_INTERVAL_BYTES) {
+            self.push(now, written);
+        }
+    }
+
+    fn push(&mut self, now: Millis, written: usize) {
         self.samples.push_back((now, written));
         while self.samples.get(1).is_some_and(|(_, second)| second + MAX_SENDER_BUFFER_BYTES < written) {
             self.samples.pop_front();
@@ -101,7 +112,9 @@
     /// Returns the earliest time at which the client may have written the last of `length` bytes; `None` if it cannot
     /// have written it yet.
     pub(super) fn earliest_end(&self, length: usize) -> Option<Millis> {
-        let may_hold_rest = |sample: &&(Millis, usize)| sample.1 + MAX_SENDER_BUFFER_BYTES >= length;
+        // A client may have written nearly as much more as is between two samples.
+        let margin = MAX_SENDER_BUFFER_BYTES + SAMPLE_INTERVAL_BYTES;
+        let may_hold_rest = |sample: &&(Millis, usize)| sample.1 + margin >= length;
         self.samples.iter().find(may_hold_rest).map(|(at, _)| *at)
     }
 }
--- a/src/stats/uploads.rs
+++ b/src/stats/uploads.rs
@@ -7,7 +7,7 @@
 /// Shows when a body is read later than its client writes it.
 #[derive(Debug, Default)]
 pub(super) struct UploadCounters {
-    /// The number of bodies of which no more could be read ahead of their backend.
+    /// How often a body could be read no further ahead of its backend.
     limited: AtomicU64,
     /// The longest time from when a client may have written the last byte of a body until that was read, in milliseconds.
     max_end_delay: AtomicU64,
