Read further ahead of a long body in chunks before it is given up

Two causes: with no memory left to read ahead, a client that has ended its body and one that has not look the same; and waits for a client were only counted while nothing was held for the backend.

Waits that bring nothing count while a body is read ahead too. The first such wait behind bytes that were held back proves something only after a retransmission time-out: a trace showed 13 ms in which nothing came although the client's system held 1.6 MB, which made an answer 0.8 s late (4.27 s after the last byte, 16 MB, four at once).

--- a/src/config/limits.rs
+++ b/src/config/limits.rs
@@ -39,6 +39,8 @@
 /// The fraction of the memory for messages from clients, and the same again for those from
 /// backends.
 const MESSAGE_SHARE: f64 = 1.0 / 8.0;
+/// The fraction of the memory for what is read ahead of uploads whose clients might otherwise be answered too late.
+const URGENT_SHARE: f64 = 1.0 / 8.0;
 /// The most memory of a connection to the authorisation front, in bytes: its flow-control window and a check
 /// in flight.
 const AUTHZ_CONNECTION_BYTES: usize = 2 * 80 * 1024;
@@ -159,4 +161,9 @@
     pub fn max_message_bytes(&self) -> usize {
         (self.memory_bytes() as f64 * MESSAGE_SHARE) as usize
     }
+
+    /// Returns the most bytes of uploads that are read ahead because their clients might otherwise be answered too late.
+    pub fn max_urgent_bytes(&self) -> usize {
+        (self.memory_bytes() as f64 * URGENT_SHARE) as usize
+    }
 }
--- a/src/net/server_side/connection.rs
+++ b/src/net/server_side/connection.rs
@@ -450,7 +450,9 @@
                 let (mut early, mut unread) = (None, None);
                 if let Some((mut body, sender)) = upload {
                     let reporter = pending.body_reporter();
-                    let upload = Upload::new(&mut body, (head.body_length(), read), client_timeout, sender);
+                    let urgent = shared.limits.urgent_budget.reserve();
+                    let time = (client_timeout, urgent);
+                    let upload = Upload::new(&mut body, (head.body_length(), read), time, sender);
                     let upload = self.forward_body(stream, buffer, reservation, upload, reporter);
                     let result = tokio::select! {
                         biased;
--- a/src/net/server_side/mod.rs
+++ b/src/net/server_side/mod.rs
@@ -171,6 +171,8 @@
     pub max_idle_connections: usize,
     /// The bytes of messages that all connections may buffer.
     pub memory_budget: MemoryBudget,
+    /// The bytes of bodies that may be read ahead besides, where the client might otherwise be answered too late.
+    pub urgent_budget: MemoryBudget,
     /// The system's buffers for the connections.
     pub socket_buffers: SocketBuffers,
     /// The time within which every request that is read while the process drains must be answered, in
--- a/src/net/server_side/upload.rs
+++ b/src/net/server_side/upload.rs
@@ -33,6 +33,9 @@
 const MIN_BODY_BYTES_PER_MS: f64 = 16.0;
 /// The interval at which a body that is not read is checked for how much of it has arrived, in milliseconds.
 const UNREAD_POLL_INTERVAL: Millis = 100.0;
+/// The fraction of a client's time after which more of a body is read from the memory for that: what remains is enough
+/// to read what the client's system may hold.
+const URGENT_TIME_FRACTION: f64 = 0.75;
 /// The number of bytes of a chunked body that are read at a time to be discarded.
 const DISCARDED_CHUNK_BYTES: usize = 4096;
 
@@ -67,11 +70,13 @@
         let mut progress =
             UploadProgress::new(WriteTime::new(started, upload.read, receive_buffer_bytes), reporter);
         loop {
-            let piece_bytes = reservation.reserve_pieces(upload.queued_bytes);
+            let queued_bytes = upload.release_urgent();
+            let piece_bytes = reservation.reserve_pieces(queued_bytes);
             if let Err(error) = upload.decode_piece(buffer, piece_bytes) {
                 return UploadResult::Invalid(error_answer(error));
             }
             let unread = unread_bytes(stream);
+            progress.unread(clock.now(), upload.read, unread);
             self.report_progress(&mut progress, &upload, unread);
             if let Some(piece) = upload.next_piece() {
                 let (before, is_end) = (clock.now(), piece == BodyPiece::End);
@@ -92,9 +97,8 @@
                 continue;
             }
             let within = self.body_read_timeout(started, upload.read);
-            let wait_began = clock.now();
             if unread == 0 && progress.may_be_written() {
-                let conclusive_wait = progress.write_time.conclusive_wait(wait_began, upload.read);
+                let conclusive_wait = progress.conclusive_wait(clock.now(), upload.read);
                 if deadlines.within(conclusive_wait, stream.peek(&mut [0])).await.is_none() {
                     progress.report(WriteState::Pending, self.shared.drain_time_left());
                 }
@@ -108,10 +112,7 @@
                 Ok(n) if n > 0 => n,
                 _ => return UploadResult::ClientLeft,
             };
-            match unread {
-                0 => progress.write_time.waited(wait_began..clock.now(), upload.read, n),
-                _ => progress.write_time.received(clock.now(), upload.read + n, || unread_bytes(stream)),
-            }
+            progress.received(clock.now(), upload.read, n, || unread_bytes(stream));
             upload.read += n;
         }
     }
@@ -134,12 +135,14 @@
                 biased;
                 permit = pieces.reserve() => break permit,
                 more = self.read_ahead(stream, buffer, reservation, (&mut *upload, &mut *progress)) => match more {
-                    Ok(Some(n)) if n > 0 => upload.read += n,
+                    Ok(Some(n)) if n > 0 => {
+                        let now = self.shared.deadlines.clock().now();
+                        progress.received(now, upload.read, n, || unread_bytes(stream));
+                        upload.read += n;
+                    }
                     _ => return SendResult::ClientLeft,
                 },
             }
-            let now = self.shared.deadlines.clock().now();
-            progress.write_time.received(now, upload.read, || unread_bytes(stream));
             if let Err(error) = upload.decode_all(buffer) {
                 return SendResult::Invalid(error);
             }
@@ -172,7 +175,10 @@
                 self.note_read_ahead_limit(stream, upload, progress);
             }
             let unread = unread_bytes(stream);
-            progress.write_time.unread(self.shared.deadlines.clock().now(), upload.read, unread);
+            if progress.is_end_out_of_reach && unread > 0 {
+                progress.held_back();
+            }
+            progress.unread(self.shared.deadlines.clock().now(), upload.read, unread);
             self.report_progress(progress, upload, unread);
             if may_read {
                 return read_piece(stream, buffer, MAX_PIECE_BYTES).await.map(Some);
@@ -184,25 +190,33 @@
         }
     }
 
-    /// Returns whether more of a body may be read before its backend takes it. If so, `reservation` pays for a piece more
-    /// than the `buffered` bytes and those in the queue.
+    /// Returns whether more of a body may be read before its backend takes it. If so, the memory of a piece more than the
+    /// `buffered` bytes and those in the queue is reserved.
     fn may_read_ahead(
         &self,
-        upload: &Upload<'_>,
+        upload: &mut Upload<'_>,
         progress: &UploadProgress,
         buffered: usize,
         reservation: &mut Reservation,
     ) -> bool {
+        if upload.is_received() || !(upload.waits_for_attempt() || upload.length.is_none()) {
+            return false;
+        }
         let ahead = upload.queued_bytes + buffered;
+        let needed = ahead + 2 * MAX_PIECE_BYTES;
+        if ahead <= MAX_READ_AHEAD_BYTES
+            && reservation.try_resize_read_ahead(needed.saturating_sub(upload.urgent.bytes()))
+        {
+            return true;
+        }
+        // Unless more is read, the client must be answered soon as if it had written its last byte.
         let now = self.shared.deadlines.clock().now();
-        // The client is owed its answer soon if the last byte is among those that are unread.
-        let is_urgent = progress.written_at(upload).is_some_and(|at| now >= at + upload.client_timeout / 2.0);
-        let max_ahead =
-            if upload.length.is_none() && is_urgent { MAX_BODY_BYTES } else { MAX_READ_AHEAD_BYTES };
-        (upload.waits_for_attempt() || upload.length.is_none())
-            && !upload.body.is_done()
-            && ahead <= max_ahead
-            && reservation.try_resize_read_ahead(ahead + 2 * MAX_PIECE_BYTES)
+        let urgent_time = upload.client_timeout * URGENT_TIME_FRACTION;
+        let is_urgent = progress.written_at(upload).is_some_and(|at| now >= at + urgent_time);
+        upload.length.is_none()
+            && is_urgent
+            && ahead <= MAX_BODY_BYTES
+            && upload.urgent.try_resize(needed.saturating_sub(reservation.bytes()))
     }
 
     /// Records that a body of unknown length can be read no further ahead.
@@ -301,6 +315,8 @@
     pub(super) read: usize,
     /// How long the client waits for its answer after the last byte, in milliseconds.
     client_timeout: Millis,
+    /// The memory of what was read ahead because the last byte might have been among it.
+    urgent: Reservation,
     pieces: mpsc::Sender<BodyPiece>,
     /// The number of pieces sent to the channel, which buffers one that the attempt has not received.
     sent: usize,
@@ -314,11 +330,11 @@
 
 impl<'a> Upload<'a> {
     /// Creates an upload of which `read` bytes have been received. `client_timeout` is how long its client waits for the
-    /// answer after the last byte, in milliseconds.
+    /// answer after the last byte, in milliseconds; `urgent` pays for what is read ahead for that.
     pub(super) fn new(
         body: &'a mut BodyDecoder,
         (length, read): (Option<usize>, usize),
-        client_timeout: Millis,
+        (client_timeout, urgent): (Millis, Reservation),
         pieces: mpsc::Sender<BodyPiece>,
     ) -> Self {
         Self {
@@ -326,6 +342,7 @@
             length,
             read,
             client_timeout,
+            urgent,
             pieces,
             sent: 0,
             queue: VecDeque::new(),
@@ -349,6 +366,13 @@
         self.waits_for_attempt() && self.queue.len() > 1
     }
 
+    /// Releases the memory for urgent reading that the queue no longer needs. Returns the bytes of the queue that it does
+    /// not pay for.
+    fn release_urgent(&mut self) -> usize {
+        self.urgent.hold(self.urgent.bytes().min(self.queued_bytes));
+        self.queued_bytes - self.urgent.bytes()
+    }
+
     /// Decodes a piece of at most `max_bytes` if none is queued.
     fn decode_piece(&mut self, buffer: &mut BytesMut, max_bytes: usize) -> Result<(), ParseError> {
         if self.queue.is_empty() {
--- a/src/net/server_side/upload_progress.rs
+++ b/src/net/server_side/upload_progress.rs
@@ -7,6 +7,10 @@
 use crate::interface::Millis;
 use crate::net::client_side::{Answer, Question};
 
+/// A client's system whose bytes were not taken may wait this long before it sends them again, in milliseconds: its
+/// shortest retransmission time-out, and some of its clock's ticks.
+const RETRANSMISSION_TIME: Millis = 250.0;
+
 /// How far the client has written a body.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum WriteState {
@@ -22,9 +26,13 @@
 #[derive(Debug)]
 pub(super) struct UploadProgress {
     /// How far the client was known to have written.
-    pub(super) write_time: WriteTime,
+    write_time: WriteTime,
+    /// Since when nothing has been unread, in Unix milliseconds; `None` while something is.
+    idle_since: Option<Millis>,
     /// What was reported last.
     pub(super) state: WriteState,
+    /// Whether bytes were held back, and nothing has arrived since they were read.
+    is_window_reopened: bool,
     /// Whether a body of unknown length could be read no further ahead of its backend since nothing of it was unread: any
     /// unread byte may be the last one.
     pub(super) is_end_out_of_reach: bool,
@@ -34,7 +42,49 @@
 impl UploadProgress {
     /// Creates the progress of a body of which nothing has been reported.
     pub(super) fn new(write_time: WriteTime, reporter: BodyReporter<Question, Answer>) -> Self {
-        Self { write_time, state: WriteState::Pending, is_end_out_of_reach: false, reporter }
+        Self {
+            write_time,
+            idle_since: None,
+            state: WriteState::Pending,
+            is_window_reopened: false,
+            is_end_out_of_reach: false,
+            reporter,
+        }
+    }
+
+    /// Records that at `now`, when `received` bytes have been received, `unread` more had arrived.
+    pub(super) fn unread(&mut self, now: Millis, received: usize, unread: usize) {
+        if unread == 0 {
+            self.idle_since.get_or_insert(now);
+        } else {
+            self.idle_since = None;
+            self.write_time.unread(now, received + unread);
+        }
+    }
+
+    /// Records that `more` bytes have been received by `now`, behind `received` others, and that `unread` returns how
+    /// many more have arrived.
+    pub(super) fn received(
+        &mut self,
+        now: Millis,
+        received: usize,
+        more: usize,
+        unread: impl FnOnce() -> usize,
+    ) {
+        let Some(since) = self.idle_since.take() else {
+            return self.write_time.received(now, received + more, unread);
+        };
+        let is_window_reopened = std::mem::take(&mut self.is_window_reopened);
+        if is_window_reopened && now - since < RETRANSMISSION_TIME {
+            return self.write_time.received(now, received + more, unread);
+        }
+        self.write_time.waited(since..now, received, more);
+    }
+
+    /// Returns how long nothing must arrive from `now` on, in milliseconds, until the client is known to have written no
+    /// more than the `received` bytes.
+    pub(super) fn conclusive_wait(&self, now: Millis, received: usize) -> Millis {
+        self.write_time.conclusive_wait(now, received)
     }
 
     /// Returns whether it was reported that the client may have written the whole body.
@@ -65,6 +115,11 @@
         }
     }
 
+    /// Records that what is unread is not read for now.
+    pub(super) fn held_back(&mut self) {
+        self.is_window_reopened = true;
+    }
+
     /// Reports a state, if it has changed. The final answer is due within `max_time` milliseconds, whatever the client's
     /// timeout.
     pub(super) fn report(&mut self, state: WriteState, max_time: Millis) {
--- a/src/net/server_side/write_time.rs
+++ b/src/net/server_side/write_time.rs
@@ -94,9 +94,8 @@
         self.push(now, received + unread());
     }
 
-    /// Records that at `now`, when `received` bytes have been received, `unread` more had arrived.
-    pub(super) fn unread(&mut self, now: Millis, received: usize, unread: usize) {
-        let written = received + unread;
+    /// Records that by `now` the client had written `written` bytes at least, some of which are unread.
+    pub(super) fn unread(&mut self, now: Millis, written: usize) {
         if self.samples.back().is_none_or(|(_, last)| written >= last + SAMPLE_INTERVAL_BYTES) {
             self.push(now, written);
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -554,6 +554,7 @@
     let max_message_bytes = instance.limits.max_message_bytes();
     let client_budget = budget(max_message_bytes, MemoryOwner::Clients);
     let backend_budget = budget(max_message_bytes, MemoryOwner::Backends);
+    let urgent_budget = budget(instance.limits.max_urgent_bytes(), MemoryOwner::UrgentUploads);
     let large_buffers = budget(instance.limits.max_large_socket_buffer_bytes(), MemoryOwner::SocketBuffers);
     let socket_buffers = SocketBuffers::new(instance.limits.socket_buffer_bytes(), large_buffers);
     socket_buffers.apply(&listener);
@@ -587,6 +588,7 @@
         max_rejected_connections: rejected_clients,
         max_idle_connections: idle,
         memory_budget: client_budget,
+        urgent_budget,
         socket_buffers,
         drain_timeout: last.min(MAX_DRAIN_TIMEOUT),
     };
--- a/src/stats/memory.rs
+++ b/src/stats/memory.rs
@@ -12,9 +12,11 @@
     Backends,
     /// What the system may hold for the sockets of long messages, beyond what it may hold for each socket.
     SocketBuffers,
+    /// What is read ahead of uploads besides, because their clients might otherwise be answered too late.
+    UrgentUploads,
 }
 
-const OWNER_LABELS: [&str; 3] = ["clients", "backends", "socket_buffers"];
+const OWNER_LABELS: [&str; 4] = ["clients", "backends", "socket_buffers", "urgent_uploads"];
 
 /// The bytes that each owner holds now, and the most that it has held.
 #[derive(Debug, Default)]
--- a/tests/slow_uploads.rs
+++ b/tests/slow_uploads.rs
@@ -39,7 +39,8 @@
     announced: bool,
     /// The bytes that are written at a time: those of a chunk.
     step: usize,
-    /// The time between two steps.
+    /// The bytes that are written at once, and the time between two steps after these.
+    burst: usize,
     pause: Duration,
     /// A longer pause half way.
     rest: Duration,
@@ -54,6 +55,7 @@
             length: 20 * MB,
             announced: false,
             step: 16 * 1024,
+            burst: 0,
             pause: Duration::ZERO,
             rest: Duration::ZERO,
         }
@@ -88,7 +90,7 @@
             let is_half_way = (written..written + bytes).contains(&half);
             written += bytes;
             let pause = if is_half_way { self.rest } else { self.pause };
-            if !pause.is_zero() {
+            if written > self.burst && !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
         }
@@ -183,13 +185,21 @@
     });
 }
 
-/// A client that has not ended its body is not late.
+/// Guards against a client that has not ended its body being answered as if it were late.
 #[test]
 fn chunked_request_that_its_backend_takes_in_time_is_served() {
     let paced =
         Uploads { length: 4 * MB, step: 20_000, pause: Duration::from_millis(50), ..Uploads::default() };
     let halves =
         Uploads { length: 4 * MB, read_rate: 2e6, rest: Duration::from_millis(1500), ..Uploads::default() };
+    let burst = Uploads {
+        length: 7 * MB,
+        read_rate: 1e6,
+        burst: 6 * MB,
+        step: 20_000,
+        pause: Duration::from_millis(100),
+        ..Uploads::default()
+    };
     local(async {
         tokio::join!(
             paced.check_served("served-paced"),
@@ -198,6 +208,8 @@
             halves.check_served("served-halves"),
             Uploads { memory_mib: 32, ..halves }.check_served("served-halves-small"),
             Uploads { length: 12 * MB, read_rate: 6e6, ..halves }.check_served("served-halves-large"),
+            burst.check_served("served-burst"),
+            Uploads { memory_mib: 32, ..burst }.check_served("served-burst-small"),
         );
     });
 }
--- a/tests/socket_races.rs
+++ b/tests/socket_races.rs
@@ -86,6 +86,7 @@
             max_rejected_connections,
             max_idle_connections,
             socket_buffers: SocketBuffers::new(128 << 10, budget.clone()),
+            urgent_budget: budget.clone(),
             memory_budget: budget,
             drain_timeout: DRAIN_TIMEOUT,
         };
