Draw long bodies in chunks to slow backends into the soak

Change: a form of clients of its own draws, so that a seed still plays what it played before; an upload whose answer has not come by the time that it is due is broken at once, not only if it comes before the soak ends.

--- a/trials/src/soak/clients.rs
+++ b/trials/src/soak/clients.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The timeout that clients of keyed requests tell, in milliseconds.
 const KEYED_TIMEOUT_MS: u64 = 2000;
@@ -56,6 +56,11 @@
     )
 }
 
+/// The head of a request whose body comes in chunks.
+fn keyed_chunked(id: &str, word: &str, customer: u64) -> String {
+    keyed(id, word, customer, 0).replace("Content-Length: 0", "Transfer-Encoding: chunked")
+}
+
 fn safe(id: &str, word: &str, fields: &str) -> String {
     format!(
         "GET /board-state/{word}?client=0000000000000009 HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\n\
@@ -88,7 +93,8 @@
         let result = match group.behavior {
             Behavior::SteadyUpload => self.upload(&name, "1", group.bytes, group.bytes).await,
             Behavior::StoppedUpload => self.upload(&name, "1", group.bytes, group.bytes / 2).await,
-            Behavior::SlowBackendUpload => self.timed_upload(&name, group.bytes).await,
+            Behavior::SlowBackendUpload => self.timed_upload(&name, group.bytes, false).await,
+            Behavior::ChunkedSlowBackendUpload => self.timed_upload(&name, group.bytes, true).await,
             Behavior::SlowReader => self.read_slowly(&name, group.bytes).await,
             Behavior::LateAnswer => self.late_answer(&name, group.bytes).await,
             Behavior::ManyFields => self.many_fields(&name).await,
@@ -145,28 +151,39 @@
     }
 
     /// Writes a body as fast as it is taken, which its backend reads slowly. The final answer is due in time.
-    async fn timed_upload(&self, name: &str, length: usize) -> Result<(), String> {
+    async fn timed_upload(&self, name: &str, length: usize, chunked: bool) -> Result<(), String> {
         let Some(stream) = self.connect().await else { return Ok(()) };
         let (mut reader, mut writer) = stream.into_split();
-        let request = keyed(name, "read-400000", 7, length);
+        let request = match chunked {
+            true => keyed_chunked(name, "read-400000", 7),
+            false => keyed(name, "read-400000", 7, length),
+        };
         let writing = tokio::task::spawn_local(async move {
             let _ = writer.write_all(request.as_bytes()).await;
             let mut left = length;
             while left > 0 {
                 let step = left.min(STEP_BYTES);
-                if writer.write_all(&[b'm'; STEP_BYTES][..step]).await.is_err() {
+                let mut bytes = if chunked { format!("{step:x}\r\n").into_bytes() } else { Vec::new() };
+                bytes.resize(bytes.len() + step, b'm');
+                if chunked {
+                    bytes.extend(b"\r\n");
+                }
+                if writer.write_all(&bytes).await.is_err() {
                     break;
                 }
                 left -= step;
             }
+            if chunked {
+                let _ = writer.write_all(b"0\r\n\r\n").await;
+            }
             (Instant::now(), writer)
         });
-        let _ = reader.read(&mut [0; 512]).await;
-        let answered_at = Instant::now();
         let Ok((written_at, _writer)) = writing.await else { return Ok(()) };
-        let after = answered_at.saturating_duration_since(written_at);
-        let due = Duration::from_millis(KEYED_TIMEOUT_MS) + LATE + TIMING_SLACK;
-        if after > due { Err(format!("answered {after:?} after its last byte")) } else { Ok(()) }
+        let due = written_at + Duration::from_millis(KEYED_TIMEOUT_MS) + LATE + TIMING_SLACK;
+        match timeout_at(due, reader.read(&mut [0; 512])).await {
+            Ok(_) => Ok(()),
+            Err(_) => Err(format!("no answer {:?} after its last byte", due - written_at)),
+        }
     }
 
     async fn read_slowly(&self, name: &str, bytes: usize) -> Result<(), String> {
@@ -202,7 +219,7 @@
     /// Sends a body in chunks of one byte. The final answer is due in time.
     async fn tiny_chunks(&self, name: &str) -> Result<(), String> {
         let Some(mut stream) = self.connect().await else { return Ok(()) };
-        let head = keyed(name, "1", 7, 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        let head = keyed_chunked(name, "1", 7);
         if stream.write_all(head.as_bytes()).await.is_err() {
             return Ok(());
         }
--- a/trials/src/soak/draw.rs
+++ b/trials/src/soak/draw.rs
@@ -43,13 +43,19 @@
     LongReader,
     /// They send a body in chunks of one byte.
     TinyChunks,
+    /// They write a long body in chunks that its backend reads slowly.
+    ChunkedSlowBackendUpload,
 }
 
 /// The forms of a second incident. They are drawn beside the others, so that a seed still plays what it played before.
 const MORE_BEHAVIORS: [Behavior; 4] =
     [Behavior::StoppedShortBody, Behavior::PipelinedReader, Behavior::LongReader, Behavior::TinyChunks];
+/// The forms of a review after that.
+const REVIEWED_BEHAVIORS: [Behavior; 1] = [Behavior::ChunkedSlowBackendUpload];
 /// Separates the draws that were added later from those before.
 const MORE_DRAWS: u64 = 0x5eed;
+/// The same for those of the review.
+const REVIEWED_DRAWS: u64 = 0xc4a5e;
 
 const BEHAVIORS: [Behavior; 10] = [
     Behavior::SteadyUpload,
@@ -107,6 +113,8 @@
         let (faults, outage) = draw_faults(&mut rng);
         let mut more = fastrand::Rng::with_seed(seed ^ MORE_DRAWS);
         groups.extend((0..more.usize(..=2)).map(|_| draw_group(&mut more, &MORE_BEHAVIORS)));
+        let mut reviewed = fastrand::Rng::with_seed(seed ^ REVIEWED_DRAWS);
+        groups.extend((0..reviewed.usize(..=1)).map(|_| draw_group(&mut reviewed, &REVIEWED_BEHAVIORS)));
         let log = [LogTarget::File, LogTarget::FullDevice, LogTarget::EndedReader, LogTarget::Unread];
         let log = log[more.usize(..log.len())];
         let mut script =
@@ -130,10 +138,12 @@
         Behavior::LateAnswer => rng.usize(2..10),
         Behavior::RepeatedId => rng.usize(5..20),
         Behavior::EverNewNames => rng.usize(2..20),
+        Behavior::ChunkedSlowBackendUpload => rng.usize(1..6),
         _ => rng.usize(20..300),
     };
     let bytes = match behavior {
         Behavior::SlowBackendUpload => rng.usize(2_000_000..8_000_000),
+        Behavior::ChunkedSlowBackendUpload => rng.usize(4_000_000..8_000_000),
         Behavior::LateAnswer => rng.usize(100_000..250_000),
         Behavior::LongReader => rng.usize(1_000_000..4_000_000),
         _ => rng.usize(200_000..2_000_000),
