Let one process at an address decide on operators' changes

Cause: each process carried out the calls that it got by itself, and nothing said which of two decides. The new one put the old one's disabled backends in place of its own, and the old one was never told.

Change: one process leads (upgrade/replication.rs). It decides, puts a change in force, writes the file, has the others follow and then answers; the others submit their calls to it. Changes wait while the leadership passes, and carry a time after which they are not made. Why that works: no call is answered ok by a process whose settings are about to be replaced, and all processes apply changes in one order. The frames stay readable from and to the version before (a byte behind Hello and Sockets tells the revision).

--- a/src/admin/command.rs
+++ b/src/admin/command.rs
@@ -1,6 +1,6 @@
 //! The commands of the admin interface. Each is one line of text.
 
-use crate::exchange::Operation;
+use crate::upgrade::change::Change;
 use std::fmt;
 
 /// A command of the admin interface.
@@ -12,18 +12,12 @@
     ShowStat,
     /// Shows the ingresses of the fleet.
     Members,
-    /// Carries out an operation of the engine: disables or enables a backend.
-    Operate(Operation),
     /// Shows the operators' notices, from any ingress.
     Notices,
     /// Shows how far this instance has recovered since its start.
     Recovery,
-    /// Drains this instance.
-    Drain,
-    /// Ends the drain of this instance.
-    Resume,
-    /// Drains the ingress of this name (`true`), or ends its drain (`false`).
-    DrainOther(String, bool),
+    /// Makes a change.
+    Change(Change),
 }
 
 /// The reason why a line is not a valid command.
@@ -73,12 +67,18 @@
             (Some("members"), None, None) => Ok(Self::Members),
             (Some("notices"), None, None) => Ok(Self::Notices),
             (Some("recovery"), None, None) => Ok(Self::Recovery),
-            (Some("drain"), None, None) => Ok(Self::Drain),
-            (Some("resume"), None, None) => Ok(Self::Resume),
-            (Some("drain"), Some(name), None) => Ok(Self::DrainOther(name.to_owned(), true)),
-            (Some("resume"), Some(name), None) => Ok(Self::DrainOther(name.to_owned(), false)),
-            (Some("disable-server"), Some(id), None) => Ok(Self::Operate(Operation::Disable(id.to_owned()))),
-            (Some("enable-server"), Some(id), None) => Ok(Self::Operate(Operation::Enable(id.to_owned()))),
+            (Some("drain"), None, None) => Ok(Self::Change(Change::Drain)),
+            (Some("resume"), None, None) => Ok(Self::Change(Change::Resume)),
+            (Some("drain"), Some(name), None) => {
+                Ok(Self::Change(Change::DrainIngress(name.to_owned(), true)))
+            }
+            (Some("resume"), Some(name), None) => {
+                Ok(Self::Change(Change::DrainIngress(name.to_owned(), false)))
+            }
+            (Some("disable-server"), Some(id), None) => {
+                Ok(Self::Change(Change::DisableBackend(id.to_owned())))
+            }
+            (Some("enable-server"), Some(id), None) => Ok(Self::Change(Change::EnableBackend(id.to_owned()))),
             (Some("disable-server" | "enable-server"), ..) => Err(CommandError::NeedsBackendId),
             (Some("ready" | "show-stat" | "members" | "notices" | "recovery" | "drain" | "resume"), ..) => {
                 Err(CommandError::UnexpectedArgument)
--- a/src/admin/command/tests.rs
+++ b/src/admin/command/tests.rs
@@ -2,18 +2,18 @@
 
 #[test]
 fn parses_commands_with_either_line_ending_and_rejects_other_lines() {
-    let operate = |operation| Ok(Command::Operate(operation));
+    let change = |change| Ok(Command::Change(change));
     assert_eq!(Command::parse(b"ready"), Ok(Command::Ready));
     assert_eq!(Command::parse(b" show-stat \r"), Ok(Command::ShowStat));
-    assert_eq!(Command::parse(b"disable-server s-1\r"), operate(Operation::Disable("s-1".into())));
-    assert_eq!(Command::parse(b"enable-server s-1"), operate(Operation::Enable("s-1".into())));
+    assert_eq!(Command::parse(b"disable-server s-1\r"), change(Change::DisableBackend("s-1".into())));
+    assert_eq!(Command::parse(b"enable-server s-1"), change(Change::EnableBackend("s-1".into())));
     assert_eq!(
         (Command::parse(b"drain"), Command::parse(b"resume\r")),
-        (Ok(Command::Drain), Ok(Command::Resume))
+        (change(Change::Drain), change(Change::Resume))
     );
     let invalid: [&[u8]; 7] =
         [b"", b"\r", b"READY", b"ready now", b"disable-server", b"enable-server a b", b"\xff\xfe"];
-    assert_eq!(Command::parse(b"drain n3"), Ok(Command::DrainOther("n3".into(), true)));
+    assert_eq!(Command::parse(b"drain n3"), change(Change::DrainIngress("n3".into(), true)));
     assert!(Command::parse(b"drain n3 n4").is_err());
     assert!(invalid.iter().all(|line| Command::parse(line).is_err()));
 }
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -2,30 +2,27 @@
 
 use super::command::{Command, CommandError};
 use super::socket_queues::SocketQueueMetrics;
-use crate::backends::maintenance::encode_disabled;
-use crate::cluster::notices::{LocalNotice, MAX_SUBJECT, Subject};
 use crate::cluster::transport::SharedCluster;
 use crate::cluster::{Cluster, report};
 use crate::config::MAX_ADMIN_CONNECTIONS;
 use crate::deadlines::Deadlines;
-use crate::exchange::{Operation, OperationResult};
-use crate::files::RetriedFile;
+use crate::exchange::Operation;
 use crate::interface::Millis;
 use crate::logging;
-use crate::net::server_side::{Drain, Phase, Role};
+use crate::net::server_side::{Phase, Role};
 use crate::recovery::Recovery;
 use crate::stats::Stats;
-use crate::upgrade::other_process::OtherProcess;
+use crate::upgrade::change::Change;
+use crate::upgrade::replication::Replication;
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 
 /// The longest line that is read, in bytes.
@@ -44,30 +41,20 @@
 /// The answer to a command that needs membership of a fleet, if none is configured.
 const NO_CLUSTER: &str = "fail no cluster is set\n";
 
-/// Carries out an operation on the engine.
-pub type OperationHandler = Box<dyn Fn(Operation) -> Pin<Box<dyn Future<Output = OperationResult>>>>;
-
 /// The server of the admin interface, with everything that its commands read or change.
 pub struct AdminServer {
     /// The metrics.
     pub stats: Arc<Stats>,
     /// The phase of the process between its start and its end.
     pub phase: watch::Receiver<Phase>,
-    /// Whether this instance is drained.
-    pub drain: watch::Sender<Drain>,
     /// Which of the two processes at one address this is.
     pub role: watch::Receiver<Role>,
-    /// The other process at this address.
-    pub other_process: OtherProcess,
-    /// The way to the engine.
-    pub engine: OperationHandler,
-    /// The file that stores the names of the disabled backends for the next process, or `None` to store
-    /// nothing.
-    pub disabled_file: Option<RetriedFile>,
+    /// The way to the process that decides on changes, with what is in force at this one.
+    pub replication: Replication,
     /// The clock and the timers.
     pub deadlines: Deadlines,
-    /// The view of the fleet and the queue of notices to publish, or `None` if no fleet is configured.
-    pub cluster: Option<(SharedCluster, mpsc::UnboundedSender<LocalNotice>)>,
+    /// The view of the fleet, or `None` if no fleet is configured.
+    pub cluster: Option<SharedCluster>,
     /// How far this instance has recovered since its start.
     pub recovery: Rc<RefCell<Recovery>>,
     /// The log that commands with effects are written to.
@@ -159,16 +146,7 @@
             Command::Members => self.report_fleet(report::members),
             Command::Notices => self.report_fleet(report::notices),
             Command::Recovery => format!("{}eof\n", self.server.recovery.borrow().report(self.now())),
-            Command::Operate(operation) => self.operate(operation).await,
-            Command::Drain => {
-                self.drain(true);
-                "ok draining\n".to_owned()
-            }
-            Command::Resume => {
-                self.drain(false);
-                "ok\n".to_owned()
-            }
-            Command::DrainOther(name, drained) => self.drain_other(name, drained),
+            Command::Change(change) => self.change(change).await,
         }
     }
 
@@ -183,10 +161,11 @@
     }
 
     async fn show_stat(&self) -> String {
-        match self.engine(Operation::Inspect).await {
+        let status = (self.server.replication.settings().engine)(Operation::Inspect);
+        let status = self.server.deadlines.within(ENGINE_TIMEOUT, status).await;
+        match status.unwrap_or(Err("no answer in time")) {
             Ok(status) => {
-                let fleet =
-                    self.server.cluster.as_ref().map(|(cluster, _)| report::metrics(&cluster.borrow()));
+                let fleet = self.server.cluster.as_ref().map(|cluster| report::metrics(&cluster.borrow()));
                 let now = self.server.deadlines.clock().now();
                 let metrics = self.server.stats.text(status.counts, now);
                 let queues = self.socket_queues.latest(now);
@@ -199,75 +178,32 @@
     /// Returns a report on the fleet, followed by the line `eof`.
     fn report_fleet(&self, report: fn(&Cluster, Millis) -> String) -> String {
         match &self.server.cluster {
-            Some((cluster, _)) => format!("{}eof\n", report(&cluster.borrow(), self.now())),
+            Some(cluster) => format!("{}eof\n", report(&cluster.borrow(), self.now())),
             None => NO_CLUSTER.to_owned(),
         }
     }
 
-    async fn operate(&self, operation: Operation) -> String {
+    /// Has the process that leads carry out a change.
+    async fn change(&self, change: Change) -> String {
         let log = &self.server.log;
-        match &operation {
-            Operation::Disable(id) => info!(log, "an operator takes a real server out"; "id" => id),
-            Operation::Enable(id) => info!(log, "an operator puts a real server back"; "id" => id),
-            Operation::Inspect => {}
-        }
-        match self.engine(operation).await {
-            Ok(status) => {
-                self.save_disabled(&status.disabled);
-                "ok\n".to_owned()
+        match &change {
+            Change::DisableBackend(id) => info!(log, "an operator takes a real server out"; "id" => id),
+            Change::EnableBackend(id) => info!(log, "an operator puts a real server back"; "id" => id),
+            Change::Drain => info!(log, "an operator drains this instance"),
+            Change::Resume => info!(log, "an operator ends the drain"),
+            Change::DrainIngress(name, drained) => {
+                info!(log, "an operator drains an ingress or ends that"; "name" => name, "drained" => drained);
             }
-            Err(reason) => format!("fail {reason}\n"),
-        }
-    }
-
-    /// Has the engine carry out an operation, and waits for the result.
-    async fn engine(&self, operation: Operation) -> OperationResult {
-        let answer = (self.server.engine)(operation);
-        self.server.deadlines.within(ENGINE_TIMEOUT, answer).await.unwrap_or(Err("no answer in time"))
-    }
-
-    /// Publishes a notice that an ingress is drained or resumed. The ingress learns of it by the notice, as
-    /// all others do.
-    fn drain_other(&self, name: String, drained: bool) -> String {
-        let Some((cluster, local_notices)) = &self.server.cluster else {
-            return format!("fail {}\n", CommandError::UnexpectedArgument);
-        };
-        if !is_known(&cluster.borrow(), &name) || name.len() > MAX_SUBJECT {
-            return "fail no such ingress\n".to_owned();
-        }
-        info!(self.server.log, "an operator drains an ingress or ends that";
-            "name" => &name, "drained" => drained);
-        match local_notices.send(LocalNotice::Published(Subject::Ingress(name), drained)) {
-            Ok(()) => "ok\n".to_owned(),
-            Err(_) => "fail the wire has ended\n".to_owned(),
         }
-    }
-
-    /// Drains or resumes this instance, in this process and in the other one at this address.
-    fn drain(&self, drained: bool) {
-        let drain = if drained { Drain::Announced } else { Drain::Inactive };
-        if (*self.server.drain.borrow() != Drain::Inactive) != drained {
-            match drained {
-                true => info!(self.server.log, "an operator drains this instance"),
-                false => info!(self.server.log, "an operator ends the drain"),
+        let answer = if change == Change::Drain { "ok draining\n" } else { "ok\n" };
+        match self.server.replication.request(change).await {
+            Ok(()) => answer.to_owned(),
+            Err(reason) => {
+                info!(log, "an operator's change is not made"; "why" => %reason);
+                format!("fail {reason}\n")
             }
-            self.server.drain.send_replace(drain);
         }
-        self.server.other_process.drain(drained);
     }
-
-    fn save_disabled(&self, disabled: &[String]) {
-        if let Some(file) = &self.server.disabled_file {
-            file.write(encode_disabled(disabled).into_bytes());
-        }
-    }
-}
-
-/// Returns whether an ingress of this name is a member, or is drained by a notice.
-fn is_known(cluster: &Cluster, name: &str) -> bool {
-    cluster.local().name == name
-        || cluster.members().any(|(identity, ..)| identity.name == name)
-        || cluster.notices().is_active(&Subject::Ingress(name.to_owned()))
 }
 
 /// Reads a line and returns it without its line feed, or `None` if the client closes the connection first.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -2,14 +2,15 @@
 //! returns. It knows no wire protocol. It ensures that every request gets exactly one final answer, before
 //! its deadline.
 
+mod operations;
+
 use crate::backends::address_owners::AddressOwners;
 use crate::backends::start_times::StartTimes;
-use crate::cluster::notices::{LocalNotice, Subject};
+use crate::cluster::notices::LocalNotice;
 use crate::deadlines::{DeadlineKey, Deadlines, Expiry, wall_clock};
 use crate::entries::BackendList;
 use crate::exchange::{
-    AttemptReport, BackendStatus, BodyProgress, ClientSideCommand, CounterCall, EngineEvent, EngineState,
-    FinalAnswer, Operation,
+    AttemptReport, BodyProgress, ClientSideCommand, CounterCall, EngineEvent, EngineState, FinalAnswer,
 };
 use crate::interface::*;
 use crate::maintenance::Maintenance;
@@ -327,9 +328,7 @@
                 }
             }
             EngineEvent::DisabledElsewhere(name, disabled) => {
-                if let Some(change) = self.maintenance.apply_notice(&name, disabled) {
-                    self.apply_change(change, ListKind::Changes);
-                }
+                self.follow(&name, disabled);
             }
             EngineEvent::HandOver(reply) => {
                 self.retired = true;
@@ -353,36 +352,13 @@
                 }
             }
             EngineEvent::Operate(operation, reply) => {
-                // The operator gets the result only after all consequences are carried out.
-                let result = self.operate(operation);
-                let _ = reply.send(result);
-            }
-        }
-    }
-
-    /// Continues from the state of another process. If the limiter's state cannot be read, this process
-    /// starts afresh, as after a restart.
-    fn inherit(&mut self, state: EngineState) {
-        self.maintenance.replace_disabled(state.disabled);
-        match self.limiter.inherit(&state.limiter) {
-            Ok(in_flight) => {
-                self.limiter.continue_clock(self.now);
-                self.predecessor_attempts = in_flight
-                    .into_iter()
-                    .map(|(request, index, backend)| ((request, index), backend))
-                    .collect();
-                info!(self.log, "took over"; "attempts_out" => self.predecessor_attempts.len());
+                // An operator who was told that there is no answer must find nothing changed later.
+                if !reply.is_closed() {
+                    // The operator gets the result only after all consequences are carried out.
+                    let result = self.operate(operation);
+                    let _ = reply.send(result);
+                }
             }
-            Err(why) => warn!(self.log, "what the old process knew was passed over"; "why" => why),
-        }
-        if !self.list_received && !state.list.entries.is_empty() {
-            let list = self.apply_owners(state.list);
-            self.maintenance.apply_list(list);
-        }
-        let mut list = self.maintenance.discovered_list();
-        if !list.entries.is_empty() {
-            list = self.maintenance.apply_list(list);
-            self.apply_change(list, ListKind::Full);
         }
     }
 
@@ -395,24 +371,6 @@
         }
     }
 
-    fn operate(&mut self, operation: Operation) -> Result<BackendStatus, &'static str> {
-        let (change, notice) = match operation {
-            Operation::Inspect => (None, None),
-            Operation::Disable(name) => (self.maintenance.disable(&name)?, Some((name, true))),
-            Operation::Enable(name) => (self.maintenance.enable(&name)?, Some((name, false))),
-        };
-        if let (Some(notices), Some((name, disabled))) = (&self.outputs.local_notices, notice) {
-            let _ = notices.send(LocalNotice::Published(Subject::Backend(name), disabled));
-        }
-        if let Some(change) = change {
-            self.apply_change(change, ListKind::Changes);
-        }
-        Ok(BackendStatus {
-            counts: self.limiter.backend_counts(self.now),
-            disabled: self.maintenance.disabled(),
-        })
-    }
-
     /// Applies a list from discovery, without the backends that operators have disabled.
     fn apply_list(&mut self, mut list: BackendList, kind: ListKind) {
         self.start_times.convert(&mut list, self.deadlines.clock().now(), wall_clock());
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -138,7 +138,8 @@
     PredecessorAttemptEnded(AttemptEnd),
     /// That process has ended, and its attempts with it.
     PredecessorGone,
-    /// An operator's operation; the sender takes the result.
+    /// An operation on the disabled backends; the sender takes the result. Nothing is done if nobody waits for it any
+    /// more.
     Operate(Operation, oneshot::Sender<OperationResult>),
 }
 
@@ -154,16 +155,20 @@
     pub list: BackendList,
 }
 
-/// An operation that an operator requests of the engine. Written by postcard: the order of the variants is
-/// the format.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// An operation on the backends that operators have disabled.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Operation {
     /// Returns the status without changing anything.
     Inspect,
-    /// Disables the backend of this name.
+    /// Disables the backend of this name, as an operator requested, and publishes a notice of it.
     Disable(String),
-    /// Enables the backend of this name.
+    /// Enables the backend of this name, as an operator requested, and publishes a notice of it.
     Enable(String),
+    /// Disables (`true`) or enables the backend of this name, listed or not, as another process at this address has
+    /// done. That one publishes the notice.
+    Follow(String, bool),
+    /// Disables exactly the backends of these names, as another process at this address has done.
+    Replace(Vec<String>),
 }
 
 /// The result of an operation: the status after it, or the reason for which it was rejected.
--- a/src/files.rs
+++ b/src/files.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Writes no content any more that could not be written yet.
+    pub fn give_up(&self) {
+        *self.unwritten.borrow_mut() = None;
+    }
+
     /// Tries again until nothing is left to be written.
     async fn retry(self) {
         loop {
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,7 +22,7 @@
 use crate::fronts::ext_authz::{Check, Front};
 use crate::fronts::platform;
 use crate::interface::{AttemptEnd, Millis};
-use crate::maintenance::{Maintenance, decode_disabled};
+use crate::maintenance::Maintenance;
 use crate::membership::connection_failures::FailureMonitor;
 use crate::net::budget::{MemoryBudget, PredecessorConnections};
 use crate::net::client_side::{Answer, ClientSide, Question, UpgradeLinks};
@@ -37,9 +37,9 @@
 use crate::stats::{MemoryOwner, Stats};
 use crate::subset::Subset;
 use crate::upgrade::handover::{Handover, Outgoing};
-use crate::upgrade::link::{Reader, Writer};
-use crate::upgrade::other_process::OtherProcess;
-use crate::upgrade::rendezvous;
+use crate::upgrade::rendezvous::{self, Found, PredecessorLink};
+use crate::upgrade::replication::{Leader, Replication};
+use crate::upgrade::settings::{OperatorSettings, load_disabled};
 use bytes::Bytes;
 use slog::{Logger, info, warn};
 use socket2::{Domain, Socket, Type};
@@ -48,7 +48,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd};
-use std::path::Path;
+use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -89,7 +89,7 @@
     /// The peers' socket; if it is `None` and peers are configured, one is bound.
     pub peers: Option<std::net::UdpSocket>,
     /// The link to the old process that the sockets come from, or `None` if they were bound by this process.
-    pub link: Option<(Reader, Writer)>,
+    pub link: Option<PredecessorLink>,
 }
 
 impl From<TcpListener> for Sockets {
@@ -103,21 +103,23 @@
     /// interface, both processes may be bound at once, so that an old process that hangs cannot block an
     /// upgrade.
     pub async fn acquire(instance: &InstanceConfig, log: &Logger) -> io::Result<Self> {
-        let path = instance.admin_listen.and_then(|_| rendezvous::path(instance.listen, "next"));
-        let inherited = match path {
+        let found = match shared_path(instance, "next") {
             Some(path) => rendezvous::request_sockets(&path).await.unwrap_or_else(|e| {
                 warn!(log, "no sockets from the old process"; "why" => %e);
-                None
+                Found::Nobody
             }),
-            None => None,
+            None => Found::Nobody,
         };
-        if let Some(inherited) = inherited {
+        if let Found::Sockets(inherited) = found {
             let listener = std::net::TcpListener::from(inherited.listener);
             let peers = inherited.peers.map(std::net::UdpSocket::from);
             listener.set_nonblocking(true)?;
             peers.as_ref().map(|peers| peers.set_nonblocking(true)).transpose()?;
-            let link = Some((inherited.reader, inherited.writer));
-            return Ok(Self { listener: TcpListener::from_std(listener)?, peers, link });
+            return Ok(Self {
+                listener: TcpListener::from_std(listener)?,
+                peers,
+                link: Some(inherited.link),
+            });
         }
         let socket = match instance.listen {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
@@ -133,6 +135,12 @@
     }
 }
 
+/// Returns the path of a file of this kind that the processes at the instance's address share, or `None` if it has no
+/// admin interface or no folder for it.
+fn shared_path(instance: &InstanceConfig, kind: &str) -> Option<PathBuf> {
+    instance.admin_listen.and_then(|_| rendezvous::path(instance.listen, kind))
+}
+
 fn bind_peers(instance: &InstanceConfig, address: SocketAddr) -> io::Result<std::net::UdpSocket> {
     let socket = Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
     if instance.admin_listen.is_some() {
@@ -143,25 +151,6 @@
     Ok(socket.into())
 }
 
-/// Returns the names of the backends that operators had disabled in an earlier process. A file that cannot be
-/// read is ignored.
-fn load_disabled(path: &Path, log: &Logger) -> Vec<String> {
-    match std::fs::read(path) {
-        Ok(bytes) => match std::str::from_utf8(&bytes).ok().and_then(decode_disabled) {
-            Some(disabled) => disabled,
-            None => {
-                warn!(log, "a file of bans was passed over"; "path" => %path.display());
-                Vec::new()
-            }
-        },
-        Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
-        Err(e) => {
-            warn!(log, "a file of bans was passed over"; "path" => %path.display(), "error" => %e);
-            Vec::new()
-        }
-    }
-}
-
 /// Tracks the recovery of this instance, and logs each change of stage.
 #[derive(Debug, Clone)]
 struct RecoveryTracker {
@@ -217,7 +206,7 @@
     role: watch::Sender<Role>,
     /// Whether a predecessor process may still hand connections over.
     predecessor: watch::Sender<bool>,
-    other_process: OtherProcess,
+    replication: Replication,
     ended_attempts: mpsc::UnboundedReceiver<AttemptEnd>,
     recovery: RecoveryTracker,
 }
@@ -280,7 +269,7 @@
         }
         let phase = watch::Sender::new(Phase::Starting);
         let drain = watch::Sender::new(Drain::Inactive);
-        let disabled_file = instance.admin_listen.and_then(|_| rendezvous::path(instance.listen, "bans"));
+        let disabled_file = shared_path(instance, "bans");
         let disabled: Vec<String> = disabled_file.iter().flat_map(|path| load_disabled(path, log)).collect();
         let cluster = instance.cluster.as_ref().map(|fleet| {
             let now = deadlines.clock().now();
@@ -301,9 +290,7 @@
                 phase: phase.subscribe(),
                 local_notices: notices_receiver,
                 drain: drain.clone(),
-                notices_file: instance
-                    .admin_listen
-                    .and_then(|_| rendezvous::path(instance.listen, "notices"))
+                notices_file: shared_path(instance, "notices")
                     .map(|path| RetriedFile::new(path, deadlines.clone(), log.clone())),
                 deadlines: deadlines.clone(),
                 log: log.clone(),
@@ -339,33 +326,28 @@
         let stats = Stats::new(site.classes.iter().map(|class| class.name.as_str()));
         let engine = engine.with_subset(subset).with_stats(stats.clone()).with_address_owners(!uses_consul);
         essential_tasks.spawn_local(engine.run(known));
-        let other_process = OtherProcess::default();
         essential_tasks.spawn_local(close_after_announcement(drain.clone(), deadlines.clone()));
+        let engine_exchange = exchange.clone();
+        let engine = move |operation: Operation| -> Pin<Box<dyn Future<Output = OperationResult>>> {
+            let (reply, answer) = oneshot::channel();
+            engine_exchange.send(EngineEvent::Operate(operation, reply));
+            Box::pin(async move { answer.await.unwrap_or(Err("the engine has ended")) })
+        };
+        let settings = OperatorSettings {
+            engine: Box::new(engine),
+            drain: drain.clone(),
+            disabled_file: disabled_file.map(|path| RetriedFile::new(path, deadlines.clone(), log.clone())),
+            cluster: cluster.clone(),
+        };
+        let leader = if *role.borrow() == Role::Standby { Leader::Unknown } else { Leader::This };
+        let replication = Replication::new(settings, leader, deadlines.clone(), log.clone());
         if let Some(listener) = admin_listener {
-            let (engine_exchange, other, timers) =
-                (exchange.clone(), other_process.clone(), deadlines.clone());
-            let engine = move |operation: Operation| -> Pin<Box<dyn Future<Output = OperationResult>>> {
-                let (reply, answer) = oneshot::channel();
-                engine_exchange.send(EngineEvent::Operate(operation.clone(), reply));
-                let (other, timers) = (other.clone(), timers.clone());
-                Box::pin(async move {
-                    let result = answer.await.unwrap_or(Err("the engine has ended"));
-                    if result.is_ok() && operation != Operation::Inspect {
-                        other.operate(operation, &timers).await;
-                    }
-                    result
-                })
-            };
             let server = AdminServer {
                 stats: stats.clone(),
                 phase: phase.subscribe(),
-                drain: drain.clone(),
                 role: role.subscribe(),
-                other_process: other_process.clone(),
-                engine: Box::new(engine),
-                disabled_file: disabled_file
-                    .map(|path| RetriedFile::new(path, deadlines.clone(), log.clone())),
-                cluster,
+                replication: replication.clone(),
+                cluster: cluster.map(|(cluster, _)| cluster),
                 recovery: recovery.recovery.clone(),
                 deadlines: deadlines.clone(),
                 log: log.clone(),
@@ -385,7 +367,7 @@
             drain,
             role,
             predecessor: watch::Sender::new(false),
-            other_process,
+            replication,
             ended_attempts,
             recovery,
         })
@@ -540,7 +522,7 @@
         phase: core.phase.subscribe(),
         predecessor: core.predecessor.clone(),
         drain: core.drain.clone(),
-        other_process: core.other_process.clone(),
+        replication: core.replication.clone(),
         adopted_clients,
         adopted_backends,
         elsewhere: elsewhere.clone(),
@@ -599,7 +581,7 @@
     let server_side = ServerSide::new(read, exchange, deadlines, signals, stats, bounds, log.clone());
     let long_answers = server_side.long_answers();
     let server = (spawn_local(server_side.run(listener, incoming_clients)), long_answers);
-    let path = instance.admin_listen.and_then(|_| rendezvous::path(instance.listen, "next"));
+    let path = shared_path(&instance, "next");
     let ended_attempts = std::mem::replace(&mut core.ended_attempts, mpsc::unbounded_channel().1);
     let outgoing = Outgoing {
         clients: outgoing_clients,
@@ -608,11 +590,13 @@
         listener: outgoing_listener,
         peers: outgoing_peers,
     };
+    let able = watch::Sender::new(false);
+    if let Some(link) = link {
+        spawn_local(handover.clone().take_over(link, able.subscribe()));
+    }
     let mut role = core.role.subscribe();
     let start_handover = move || {
-        if let Some(link) = link {
-            spawn_local(handover.clone().take_over(link));
-        }
+        able.send_replace(true);
         if let Some(path) = path {
             spawn_local(async move {
                 let _ = role.wait_for(|role| *role == Role::Active).await;
--- a/src/upgrade/rendezvous.rs
+++ b/src/upgrade/rendezvous.rs
@@ -1,14 +1,14 @@
 //! How the new process finds the old one and gets its sockets: over a Unix socket in a directory that both
 //! share.
 
-use super::frame::{Frame, LAYOUT_VERSION};
+use super::frame::{Frame, LAYOUT_VERSION, REVISION, Revision};
 use super::link::{Message, Reader, Writer, link};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use tokio::net::UnixStream;
+use tokio::net::{UnixListener, UnixStream};
 
 /// The time within which the old process must answer; after it, the new one starts without it.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -20,6 +20,17 @@
     Some(PathBuf::from(directory).join(format!("weldhub-{}-{}.{kind}", listen.ip(), listen.port())))
 }
 
+/// A link to the old process.
+#[derive(Debug)]
+pub struct PredecessorLink {
+    /// The reading end of the link.
+    pub reader: Reader,
+    /// The writing end of the link.
+    pub writer: Writer,
+    /// What the old process understands.
+    pub revision: Revision,
+}
+
 /// The sockets that the new process takes over, and the link to the old one.
 #[derive(Debug)]
 pub struct InheritedSockets {
@@ -27,36 +38,43 @@
     pub listener: OwnedFd,
     /// The peers' socket, or `None` if there is none.
     pub peers: Option<OwnedFd>,
-    /// The reading end of the link.
-    pub reader: Reader,
-    /// The writing end of the link.
-    pub writer: Writer,
+    /// The link to the old process.
+    pub link: PredecessorLink,
+}
+
+/// What a new process finds at its address.
+#[derive(Debug)]
+pub enum Found {
+    /// No process.
+    Nobody,
+    /// A process that gave its sockets.
+    Sockets(InheritedSockets),
 }
 
-/// Requests the sockets of the old process. Returns `None` if there is no old process.
+/// Requests the sockets of the old process.
 ///
 /// # Errors
 /// Errors of the link, and an error if the old process does not answer in time or answers with another frame.
-pub async fn request_sockets(path: &Path) -> io::Result<Option<InheritedSockets>> {
+pub async fn request_sockets(path: &Path) -> io::Result<Found> {
     let stream = match UnixStream::connect(path).await {
         Ok(stream) => stream,
-        Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => {
-            return Ok(None);
-        }
+        Err(e) if is_nobody(&e) => return Ok(Found::Nobody),
         Err(e) => return Err(e),
     };
     let (mut reader, mut writer) = link(stream);
     let reply = async {
-        writer.write(&Frame::Hello(LAYOUT_VERSION).into()).await?;
+        writer.write(&Frame::Hello(LAYOUT_VERSION, REVISION).into()).await?;
         reader.next().await
     };
-    match tokio::time::timeout(ANSWER_TIMEOUT, reply).await {
-        Ok(Ok(Some(Message { frame: Frame::Sockets { .. }, descriptors }))) => {
+    let reply = tokio::time::timeout(ANSWER_TIMEOUT, reply).await;
+    let link = |revision| PredecessorLink { reader, writer, revision };
+    match reply {
+        Ok(Ok(Some(Message { frame: Frame::Sockets { revision, .. }, descriptors }))) => {
             let mut descriptors = descriptors.into_iter();
             let listener = descriptors
                 .next()
                 .ok_or_else(|| io::Error::other("the descriptor of the listener is missing"))?;
-            Ok(Some(InheritedSockets { listener, peers: descriptors.next(), reader, writer }))
+            Ok(Found::Sockets(InheritedSockets { listener, peers: descriptors.next(), link: link(revision) }))
         }
         Ok(Err(e)) => Err(e),
         Ok(Ok(_)) => Err(io::Error::other("the old process sent no sockets")),
@@ -64,17 +82,22 @@
     }
 }
 
+/// Returns whether an attempt to connect failed because no process listens.
+fn is_nobody(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused)
+}
+
 /// Listens for the next process at `path`, in place of any earlier process that listened there.
 ///
 /// # Errors
 /// Errors of the file system and of the socket.
-pub fn listen(path: &Path) -> io::Result<tokio::net::UnixListener> {
+pub fn listen(path: &Path) -> io::Result<UnixListener> {
     let temporary = path.with_extension("next");
     match std::fs::remove_file(&temporary) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
         _ => {}
     }
-    let listener = tokio::net::UnixListener::bind(&temporary)?;
+    let listener = UnixListener::bind(&temporary)?;
     std::fs::rename(&temporary, path)?;
     Ok(listener)
 }
--- a/src/upgrade/tests.rs
+++ b/src/upgrade/tests.rs
@@ -1,6 +1,7 @@
-use super::frame::{Frame, FrameError, LAYOUT_VERSION, take_frame};
+use super::change::{Change, OperatorState};
+use super::frame::{BackendOperation, Frame, FrameError, LAYOUT_VERSION, REVISION, Revision, take_frame};
 use super::link::{Message, link};
-use crate::exchange::{EngineState, Operation};
+use crate::exchange::EngineState;
 use bytes::BytesMut;
 use quickcheck::{Gen, QuickCheck};
 use std::io::{Read, Write};
@@ -11,12 +12,17 @@
     let engine =
         EngineState { limiter: vec![7; 300], disabled: vec!["s-1".into()], ..EngineState::default() };
     vec![
-        Frame::Hello(LAYOUT_VERSION),
-        Frame::Sockets { peers: true },
+        Frame::Hello(LAYOUT_VERSION, REVISION),
+        Frame::Sockets { peers: true, revision: REVISION },
         Frame::State { engine, drained: true, backend_connections: 3 },
         Frame::ClientConnection { had_requests: true, message_age: Some(1.5), bytes: b"GET / HT".to_vec() },
-        Frame::Operate(4, Operation::Disable("s-2".into())),
+        Frame::Operate(4, BackendOperation::Disable("s-2".into())),
         Frame::OperationDone(4),
+        Frame::Operators(OperatorState { disabled: vec!["s-1".into()], drained: true }),
+        Frame::Submit { number: 7, change: Change::DrainIngress("n1".into(), true), expires_at: 1 << 40 },
+        Frame::Submitted(7, Err("no such ingress".into())),
+        Frame::Follow(8, Change::Resume),
+        Frame::Followed(8),
     ]
 }
 
@@ -71,7 +77,7 @@
     let sending = async {
         writer.write(&message(client(), given.by_ref().take(1).collect())).await.unwrap();
         writer.write(&Frame::TakeOver.into()).await.unwrap();
-        let sockets = Frame::Sockets { peers: true };
+        let sockets = Frame::Sockets { peers: true, revision: REVISION };
         writer.write(&message(sockets, given.by_ref().take(2).collect())).await.unwrap();
         drop(writer);
     };
@@ -96,3 +102,17 @@
         assert_eq!(byte, [i as u8]);
     }
 }
+
+/// The encodings of 2026-12-06, whose program writes no revision and passes over bytes behind the fields that it knows.
+#[test]
+fn first_frames_are_read_from_and_by_versions_without_a_revision() {
+    let decode = |body: &[u8]| {
+        let length = u32::try_from(body.len()).unwrap().to_le_bytes();
+        take_frame(&mut BytesMut::from(&[&length[..], body].concat()[..])).unwrap().unwrap()
+    };
+    assert_eq!(decode(&[0, 1]), Frame::Hello(1, Revision::FIRST));
+    assert_eq!(decode(&[1, 1]), Frame::Sockets { peers: true, revision: Revision::FIRST });
+    assert_eq!(Frame::Hello(1, REVISION).bytes()[4..], [0, 1, 1]);
+    assert_eq!(Frame::Sockets { peers: true, revision: REVISION }.bytes()[4..], [1, 1, 1]);
+    assert_eq!(decode(&[7, 4, 1, 1, b'a']), Frame::Operate(4, BackendOperation::Disable("a".into())));
+}
--- /dev/null
+++ b/tests/operator_changes.rs
@@ -0,0 +1,363 @@
+//! Operators' calls around upgrades, with processes of the program: what any process answers `ok` holds from then on,
+//! whichever process serves and whichever ends, hangs or hands over next, and what is answered `fail` changes nothing.
+
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::admin::*;
+use stand_ins::ingress::*;
+use stand_ins::link_relay::LinkRelay;
+use stand_ins::program::Program;
+use stand_ins::site::Site;
+use stand_ins::*;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::time::Duration;
+use tokio::net::{TcpStream, UnixListener, UnixStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use weldhub::exchange::EngineState;
+use weldhub::upgrade::frame::{BackendOperation, Frame, LAYOUT_VERSION, Revision};
+use weldhub::upgrade::link::{Message, Reader, Writer, link};
+
+/// How often a test looks which backends are used.
+const ROUNDS: usize = 4;
+/// The requests that come at once each time.
+const REQUESTS: usize = 4;
+/// The time that a backend takes over a request.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+
+async fn site(name: &str) -> Site {
+    let mut site = Site::new(name).await;
+    let plan = &mut site.config_json["settings"]["tariffs"][0];
+    plan["perSecond"] = json!(1e5);
+    plan["storeSize"] = json!(1e5);
+    // Requests that come at once are spread over all backends.
+    site.backends.iter().for_each(|backend| backend.behave(Serve::Late(SERVICE_TIME, "x".into())));
+    site
+}
+
+/// Starts a process and waits until it answers operators, before it takes over.
+async fn stand_by(site: &Site, i: usize) -> Program {
+    let program = site.spawn(i);
+    answers_operators(site.admin[i]).await;
+    program
+}
+
+async fn answers_operators(admin: SocketAddr) {
+    while TcpStream::connect(admin).await.is_err() {
+        sleep(Duration::from_millis(2)).await;
+    }
+    assert_eq!(call(admin, "ready\n").await, "fail not ready\n");
+}
+
+/// Waits until the process with this admin interface serves.
+async fn ready(admin: SocketAddr) {
+    while call(admin, "ready\n").await != "ok ready\n" {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Makes a call that must be answered `ok`.
+async fn ok_call(admin: SocketAddr, line: &str) {
+    let answer = call(admin, &format!("{line}\n")).await;
+    assert!(answer.starts_with("ok"), "{line}: {answer}");
+}
+
+/// Returns which of the backends `s1` and `s2` are used now, by requests that come at once.
+async fn used(site: &Site) -> [bool; 2] {
+    let counts = || [0, 1].map(|n: usize| site.backends[n].count());
+    let before = counts();
+    for _ in 0..ROUNDS {
+        let asked = (0..REQUESTS).map(|n| {
+            let (at, request) = (site.at, board(&format!("x{n}"), 900, 1));
+            spawn_local(async move { status(&ask(at, &request).await) })
+        });
+        for answer in asked.collect::<Vec<_>>() {
+            assert_eq!(answer.await.unwrap(), 200);
+        }
+    }
+    let after = counts();
+    [0, 1].map(|n| after[n] > before[n])
+}
+
+/// Returns whether `GET /ready` says yes.
+async fn is_in_rotation(site: &Site) -> bool {
+    status(&get(site.at, "/ready").await) == 200
+}
+
+/// Guards against the loss of a call that the new process answered `ok` before it took over (`review/9`).
+#[test]
+fn calls_at_the_new_process_before_it_takes_over_hold_from_their_answer_on() {
+    local(async {
+        let site = site("early").await;
+        let old = site.start(0).await;
+        assert_eq!(used(&site).await, [true, true]);
+        ok_call(site.admin[0], "disable-server s2").await;
+        ok_call(site.admin[0], "drain").await;
+        let _new = stand_by(&site, 1).await;
+        let new = site.admin[1];
+        ok_call(new, "disable-server s1").await;
+        ok_call(new, "enable-server s2").await;
+        ok_call(new, "resume").await;
+        assert_eq!(call(new, "disable-server nobody\n").await, "fail no such server\n");
+        assert_eq!(call(new, "ready\n").await, "fail not ready\n", "all calls came before the takeover");
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true), "the old one");
+        ready(new).await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true), "the new one");
+        old.signal("TERM");
+        drop(old);
+        ok_call(new, "drain").await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], false));
+    });
+}
+
+/// Guards against a new process that takes over with what the old one had told it at its start.
+#[test]
+fn calls_at_an_old_process_that_is_killed_before_it_hands_over_hold_at_the_new_one() {
+    local(async {
+        let site = site("killed-early").await;
+        let mut old = site.start(0).await;
+        ok_call(site.admin[0], "disable-server s1").await;
+        let _new = stand_by(&site, 1).await;
+        ok_call(site.admin[0], "enable-server s1").await;
+        ok_call(site.admin[0], "disable-server s2").await;
+        ok_call(site.admin[1], "drain").await;
+        old.child.kill().unwrap();
+        old.end().await;
+        ready(site.admin[1]).await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+    });
+}
+
+/// Guards against a call that neither process carries out as the state is on its way from one to the other.
+#[test]
+fn calls_at_both_processes_in_the_instant_of_the_takeover_hold_whichever_serves() {
+    local(async {
+        let site = site("instant").await;
+        let mut old = site.start(0).await;
+        ok_call(site.admin[0], "drain").await;
+        let folder = site.folder.join("new");
+        std::fs::create_dir(&folder).unwrap();
+        let at = folder.join(site.file("next").file_name().unwrap());
+        let relay = LinkRelay::start(&at, &site.file("next"), |frame| matches!(frame, Frame::State { .. }));
+        let mut new = site.spawn_in(&folder, 1);
+        relay.holds().await;
+        let calls = [
+            (0, "disable-server s1\n"),
+            (1, "resume\n"),
+            (1, "disable-server s2\n"),
+            (0, "enable-server s2\n"),
+        ];
+        let mut answers = Vec::new();
+        for (i, line) in calls {
+            let admin = site.admin[i];
+            answers.push(spawn_local(async move { call(admin, line).await }));
+            sleep(Duration::from_millis(10)).await;
+        }
+        relay.release();
+        for answer in answers {
+            assert_eq!(answer.await.unwrap(), "ok\n");
+        }
+        ready(site.admin[1]).await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true));
+        // What is called once the new process serves reaches an old one that serves again.
+        ok_call(site.admin[0], "drain").await;
+        ok_call(site.admin[1], "enable-server s1").await;
+        ok_call(site.admin[0], "disable-server s2").await;
+        new.child.kill().unwrap();
+        new.end().await;
+        old.wait_for_log("serving again").await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+    });
+}
+
+/// Guards against calls that reach only one neighbour of the middle one of three processes.
+#[test]
+fn calls_at_any_of_three_processes_hold_at_all_of_them() {
+    local(async {
+        let site = site("three").await;
+        let mut first = site.start(0).await;
+        let mut second = site.start(1).await;
+        let mut third = stand_by(&site, 2).await;
+        ok_call(site.admin[0], "disable-server s1").await;
+        ok_call(site.admin[2], "drain").await;
+        let agree = async |unavailable: u64| {
+            for admin in site.admin {
+                assert_eq!(figures(admin).await["svc_members_unavailable"], unavailable);
+            }
+        };
+        agree(1).await;
+        ready(site.admin[2]).await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], false));
+        ok_call(site.admin[0], "enable-server s1").await;
+        ok_call(site.admin[0], "resume").await;
+        ok_call(site.admin[1], "disable-server s2").await;
+        agree(1).await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], true));
+        // The middle one hangs: the one that serves decides all the same.
+        second.signal("STOP");
+        ok_call(site.admin[2], "drain").await;
+        second.signal("CONT");
+        third.child.kill().unwrap();
+        third.end().await;
+        second.wait_for_log("serving again").await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        ok_call(site.admin[0], "enable-server s2").await;
+        ok_call(site.admin[0], "disable-server s1").await;
+        second.child.kill().unwrap();
+        second.end().await;
+        first.wait_for_log("serving again").await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], false));
+    });
+}
+
+/// Guards against two processes that each keep the other's call of two that cross.
+#[test]
+fn opposite_calls_at_both_processes_at_once_leave_both_with_the_same() {
+    local(async {
+        let site = site("crossing").await;
+        let mut old = site.start(0).await;
+        let mut new = site.start(1).await;
+        for round in 0..40 {
+            let [first, second] = if round % 2 == 0 { ["disable", "enable"] } else { ["enable", "disable"] };
+            let lines = [first, second].map(|word| format!("{word}-server s1\n"));
+            let answers = tokio::join!(call(site.admin[0], &lines[0]), call(site.admin[1], &lines[1]));
+            assert_eq!(answers, ("ok\n".into(), "ok\n".into()));
+            let [at_old, at_new] = [figures(site.admin[0]).await, figures(site.admin[1]).await]
+                .map(|figures| figures["svc_members_unavailable"]);
+            assert_eq!(at_old, at_new, "round {round}");
+        }
+        let disabled = figures(site.admin[1]).await["svc_members_unavailable"] > 0;
+        new.child.kill().unwrap();
+        new.end().await;
+        old.wait_for_log("serving again").await;
+        assert_eq!(used(&site).await, [!disabled, true]);
+        // What a start after a kill of both finds.
+        old.child.kill().unwrap();
+        old.end().await;
+        let third = site.start(2).await;
+        assert_eq!(used(&site).await, [!disabled, true]);
+        drop(third);
+    });
+}
+
+/// Guards against a process that hangs for good and is to miss more than its link can hold.
+#[test]
+fn changes_are_refused_before_they_overflow_the_link_to_a_process_that_hangs() {
+    local(async {
+        let site = site("unconfirmed").await;
+        let old = site.start(0).await;
+        let mut new = site.start(1).await;
+        old.signal("STOP");
+        let mut refused = 0;
+        for _ in 0..21 {
+            let calls = (0..4).map(|_| {
+                let admin = site.admin[1];
+                spawn_local(async move { call(admin, "disable-server s1\n").await })
+            });
+            for answer in calls.collect::<Vec<_>>() {
+                match answer.await.unwrap().as_str() {
+                    "ok\n" => {}
+                    answer => {
+                        assert!(
+                            answer.starts_with("fail another process at this address confirms"),
+                            "{answer}"
+                        );
+                        refused += 1;
+                    }
+                }
+            }
+        }
+        assert!((15..25).contains(&refused), "{refused} refused");
+        assert!(call(site.admin[1], "enable-server s1\n").await.starts_with("fail"));
+        assert_eq!(used(&site).await, [false, true], "what is refused changes nothing");
+        old.signal("KILL");
+        new.wait_for_log("the old process is gone").await;
+        ok_call(site.admin[1], "enable-server s1").await;
+    });
+}
+
+/// A process of the version before, as far as its link goes.
+struct FirstRevision {
+    reader: Reader,
+    writer: Writer,
+}
+
+impl FirstRevision {
+    async fn expect(&mut self) -> Frame {
+        timeout(Duration::from_secs(5), self.reader.next()).await.unwrap().unwrap().unwrap().frame
+    }
+
+    async fn send(&mut self, frame: Frame) {
+        self.writer.write(&frame.into()).await.unwrap();
+    }
+}
+
+/// Guards against an upgrade from the version before that loses calls, or hands over nothing.
+#[test]
+fn an_upgrade_from_the_version_before_answers_no_call_before_it_takes_over_and_shares_those_after_it() {
+    local(async {
+        let site = site("from").await;
+        let listener = UnixListener::bind(site.file("next")).unwrap();
+        let mut new = site.spawn(1);
+        let (reader, writer) = link(listener.accept().await.unwrap().0);
+        let mut old = FirstRevision { reader, writer };
+        assert!(matches!(old.expect().await, Frame::Hello(LAYOUT_VERSION, _)));
+        let clients = std::net::TcpListener::bind(site.at).unwrap();
+        let frame = Frame::Sockets { peers: false, revision: Revision::FIRST };
+        old.writer.write(&Message { frame, descriptors: vec![OwnedFd::from(clients)] }).await.unwrap();
+        answers_operators(site.admin[1]).await;
+        let answer = call(site.admin[1], "disable-server s1\n").await;
+        assert_eq!(answer, "fail not ready: an upgrade is under way; call again\n");
+        assert_eq!(old.expect().await, Frame::TakeOver, "nothing else before it");
+        let engine = EngineState { disabled: vec!["s2".into()], ..EngineState::default() };
+        old.send(Frame::State { engine, drained: true, backend_connections: 0 }).await;
+        new.serving().await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        let admin = site.admin[1];
+        let called = spawn_local(async move { call(admin, "enable-server s2\n").await });
+        let Frame::Operate(number, operation) = old.expect().await else { panic!("another frame") };
+        assert_eq!(operation, BackendOperation::Enable("s2".into()));
+        old.send(Frame::OperationDone(number)).await;
+        assert_eq!(called.await.unwrap(), "ok\n");
+        ok_call(admin, "resume").await;
+        assert_eq!(old.expect().await, Frame::Drain(false));
+        old.send(Frame::Operate(7, BackendOperation::Disable("s1".into()))).await;
+        while old.expect().await != Frame::OperationDone(7) {}
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true));
+    });
+}
+
+/// Guards against a way back to the version before that loses calls.
+#[test]
+fn an_upgrade_back_to_the_version_before_shares_the_calls_after_it() {
+    local(async {
+        let site = site("back-to").await;
+        let mut old = site.start(0).await;
+        let admin = site.admin[0];
+        let (reader, writer) = link(UnixStream::connect(site.file("next")).await.unwrap());
+        let mut new = FirstRevision { reader, writer };
+        new.send(Frame::Hello(LAYOUT_VERSION, Revision::FIRST)).await;
+        assert!(matches!(new.expect().await, Frame::Sockets { .. }));
+        ok_call(admin, "drain").await;
+        new.send(Frame::TakeOver).await;
+        assert!(matches!(new.expect().await, Frame::State { drained: true, .. }), "nothing else before it");
+        let called = spawn_local(async move { call(admin, "disable-server s1\n").await });
+        let Frame::Operate(number, operation) = new.expect().await else { panic!("another frame") };
+        assert_eq!(operation, BackendOperation::Disable("s1".into()));
+        new.send(Frame::OperationDone(number)).await;
+        assert_eq!(called.await.unwrap(), "ok\n");
+        // It is not told whether the new process hangs.
+        let answer = call(admin, "enable-server s1\n").await;
+        assert_eq!(answer, "fail no answer in time from the process that serves\n");
+        new.send(Frame::Operate(1, BackendOperation::Disable("s2".into()))).await;
+        new.send(Frame::Drain(false)).await;
+        let frames = [new.expect().await, new.expect().await];
+        assert!(matches!(frames, [Frame::Operate(..), Frame::OperationDone(1)]), "{frames:?}");
+        drop(new);
+        old.wait_for_log("serving again").await;
+        assert!(is_in_rotation(&site).await);
+        assert_eq!(figures(admin).await["svc_members_unavailable"], 2);
+    });
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -8,10 +8,12 @@
 pub mod full_backlog;
 pub mod ingress;
 pub mod limited;
+pub mod link_relay;
 pub mod long_body;
 pub mod paced;
 pub mod program;
 pub mod raw_http2;
+pub mod site;
 pub mod thread_timer;
 
 #[allow(unused_imports)]
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,65 +3,15 @@
 
 mod stand_ins;
 
-use serde_json::{Value, json};
+use serde_json::json;
 use stand_ins::admin::*;
 use stand_ins::ingress::*;
 use stand_ins::program::Program;
+use stand_ins::site::Site;
 use stand_ins::*;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// One address for up to three processes in turn, with a temporary folder of their own, two backends and discovery.
-struct Site {
-    folder: PathBuf,
-    /// The configuration of every process.
-    config_json: Value,
-    at: SocketAddr,
-    /// The admin interface of each process.
-    admin: [SocketAddr; 3],
-    backends: [Backend; 2],
-    _agent: Agent,
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-impl Site {
-    async fn new(name: &str) -> Self {
-        let folder = std::env::temp_dir().join(format!("weldhub-{}-{name}.d", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let backends = [Backend::start(ok("1")).await, Backend::start(ok("2")).await];
-        let agent = Agent::start().await;
-        let entry = |name, backend: &Backend| service_entry(name, backend.at, 0, "in_service");
-        let mut config_json =
-            ingress_config(agent.at, vec![entry("s1", &backends[0]), entry("s2", &backends[1])]);
-        let [at, admin0, admin1, admin2] = [0; 4].map(|_| own_address());
-        config_json["listen"] = json!(at.to_string());
-        Self { folder, config_json, at, admin: [admin0, admin1, admin2], backends, _agent: agent }
-    }
-
-    /// Starts a process with admin interface `i` and waits until it is ready.
-    async fn start(&self, i: usize) -> Program {
-        let mut program = self.spawn(i);
-        program.serving().await;
-        assert_eq!(call(self.admin[i], "ready\n").await, "ok ready\n");
-        program
-    }
-
-    /// Starts a process with admin interface `i` and returns at once.
-    fn spawn(&self, i: usize) -> Program {
-        let env =
-            [("TMPDIR", self.folder.display().to_string()), ("RELAY_MANAGEMENT", self.admin[i].to_string())];
-        let name = format!("{}-{i}", self.folder.file_name().unwrap().to_str().unwrap());
-        Program::start(&name, &self.config_json.to_string(), &env, false)
-    }
-}
-
 #[test]
 fn connections_quotas_and_disabled_backends_pass_to_the_new_process_and_every_request_is_answered() {
     local(async {
