Leave the address to a new process whose link broke, and be found by the next one

What callers saw: after a new process had died and the old one served again, the next new one did not find it, and both served, each with whole quotas and its own bans and drain. The same where the link broke while both ran.

Cause: a process listens for the next one once; the new one replaces that file, and the old one did not put its own back. The end of the link alone counted as the end of the new process.

Evidence,: the old process logs `serving again` while the new one runs, and answers `ok ready` after the third one is ready, with no `another process takes over` in its log.

Change: a process knows the file by which it is found. When its link ends it looks whether another one listens in its place; while one does, it finishes what it has and refuses calls, and when none does it listens again, leads and serves. Why that works: the listener of a process ends with it, whatever became of a link. The listener is renamed into its place, so nobody finds nothing in between.

--- a/src/upgrade/rendezvous.rs
+++ b/src/upgrade/rendezvous.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
@@ -87,17 +88,57 @@
     matches!(error.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused)
 }
 
-/// Listens for the next process at `path`, in place of any earlier process that listened there.
-///
-/// # Errors
-/// Errors of the file system and of the socket.
-pub fn listen(path: &Path) -> io::Result<UnixListener> {
-    let temporary = path.with_extension("next");
-    match std::fs::remove_file(&temporary) {
-        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-        _ => {}
+/// Returns whether a process listens at `path`, whether or not it answers.
+async fn is_served(path: &Path) -> bool {
+    UnixStream::connect(path).await.is_ok()
+}
+
+/// The place where the next process finds this one.
+#[derive(Debug)]
+pub struct Rendezvous {
+    /// Accepts the links of next processes.
+    pub listener: UnixListener,
+    claim: Claim,
+}
+
+/// The file by which the next process finds this one. Another process replaces it by its own.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    path: PathBuf,
+    inode: u64,
+}
+
+impl Claim {
+    /// Returns whether a next process that starts now finds this one.
+    pub fn is_found(&self) -> bool {
+        std::fs::metadata(&self.path).is_ok_and(|file| file.ino() == self.inode)
+    }
+
+    /// Returns whether another process that listens is found in place of this one.
+    pub async fn is_lost(&self) -> bool {
+        !self.is_found() && is_served(&self.path).await
+    }
+}
+
+impl Rendezvous {
+    /// Listens for the next process at `path`, in place of any earlier process that listened there.
+    ///
+    /// # Errors
+    /// Errors of the file system and of the socket.
+    pub fn listen(path: &Path) -> io::Result<Self> {
+        let temporary = path.with_extension("next.part");
+        match std::fs::remove_file(&temporary) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let listener = UnixListener::bind(&temporary)?;
+        let inode = std::fs::metadata(&temporary)?.ino();
+        std::fs::rename(&temporary, path)?;
+        Ok(Self { listener, claim: Claim { path: path.to_owned(), inode } })
+    }
+
+    /// Returns the file by which the next process finds this one.
+    pub fn claim(&self) -> &Claim {
+        &self.claim
     }
-    let listener = UnixListener::bind(&temporary)?;
-    std::fs::rename(&temporary, path)?;
-    Ok(listener)
 }
--- a/src/upgrade/replication.rs
+++ b/src/upgrade/replication.rs
@@ -10,6 +10,7 @@
 use super::frame::{Frame, Revision};
 use super::link::Message;
 use super::peer::Peer;
+use super::rendezvous::Claim;
 use super::settings::OperatorSettings;
 use crate::deadlines::Deadlines;
 use crate::interface::Millis;
@@ -43,6 +44,8 @@
     Successor,
     /// Not known yet: this process has not taken over, and cannot ask the one that serves.
     Unknown,
+    /// Another process, to which there is no link.
+    Elsewhere,
 }
 
 /// Which of its neighbours at its address another process is.
@@ -81,6 +84,8 @@
     successor: RefCell<Option<Peer>>,
     /// Held while a change is put in force, and while another process comes to lead.
     order: Mutex<()>,
+    /// How the next process finds this one, or `None` if it does not yet.
+    claim: RefCell<Option<Claim>>,
     deadlines: Deadlines,
     log: Logger,
 }
@@ -99,9 +104,9 @@
 impl Replication {
     /// Creates the replication of a process that sees this leader at its start.
     pub fn new(settings: OperatorSettings, leader: Leader, deadlines: Deadlines, log: Logger) -> Self {
-        let (predecessor, successor, order) = Default::default();
+        let (predecessor, successor, order, claim) = Default::default();
         let leader = watch::Sender::new(leader);
-        Self(Rc::new(Shared { settings, leader, predecessor, successor, order, deadlines, log }))
+        Self(Rc::new(Shared { settings, leader, predecessor, successor, order, claim, deadlines, log }))
     }
 
     /// Returns what operators have changed at this process.
@@ -123,7 +128,7 @@
                 Leader::This => self.lead_change(change, expires_at).await,
                 Leader::Predecessor => self.submit(Side::Predecessor, change, expires_at).await,
                 Leader::Successor => self.submit(Side::Successor, change, expires_at).await,
-                Leader::Unknown => return Err(ChangeError::NoLeader),
+                Leader::Elsewhere | Leader::Unknown => return Err(ChangeError::Superseded),
             };
             if let Some(result) = carried_out {
                 return result;
@@ -153,6 +158,9 @@
             if !self.leads() {
                 return None;
             }
+            if self.is_superseded().await {
+                return Some(Err(ChangeError::Superseded));
+            }
             if self.peers_unconfirmed() >= MAX_UNCONFIRMED {
                 return Some(Err(ChangeError::Unconfirmed));
             }
@@ -235,6 +243,20 @@
         }
     }
 
+    /// Records how the next process finds this one.
+    pub(super) fn claim(&self, claim: &Claim) {
+        *self.0.claim.borrow_mut() = Some(claim.clone());
+    }
+
+    /// Returns whether another process has come to serve at this address while this one was held up.
+    async fn is_superseded(&self) -> bool {
+        let claim = self.0.claim.borrow().clone();
+        match claim {
+            Some(claim) => claim.is_lost().await,
+            None => false,
+        }
+    }
+
     /// Keeps any change from being put in force until the guard is dropped.
     pub(super) async fn hold(&self) -> MutexGuard<'_, ()> {
         self.0.order.lock().await
@@ -274,6 +296,13 @@
         self.set_leader(Leader::Successor);
     }
 
+    /// Has this process follow the file of another one that serves at this address and to which there is no link.
+    pub(super) async fn follow_elsewhere(&self) {
+        self.set_leader(Leader::Elsewhere);
+        self.0.settings.leave_file();
+        self.0.settings.follow_file().await;
+    }
+
     /// Handles a frame of a neighbour. Others than those of replication are ignored.
     pub(super) async fn handle(&self, from: Side, frame: Frame) {
         match frame {
--- a/src/upgrade/settings.rs
+++ b/src/upgrade/settings.rs
@@ -100,6 +100,15 @@
         }
     }
 
+    /// Puts in force what the file of disabled backends says, which another process keeps.
+    pub(super) async fn follow_file(&self) {
+        let Some(file) = &self.disabled_file else { return };
+        let text = std::fs::read_to_string(file.path()).ok();
+        if let Some(disabled) = text.as_deref().and_then(decode_disabled) {
+            let _: OperationResult = (self.engine)(Operation::Replace(disabled)).await;
+        }
+    }
+
     fn save_disabled(&self, disabled: &[String]) {
         if let Some(file) = &self.disabled_file {
             file.write(encode_disabled(disabled).into_bytes());
--- a/src/upgrade/successor.rs
+++ b/src/upgrade/successor.rs
@@ -3,7 +3,7 @@
 use super::frame::{Frame, LAYOUT_VERSION, REVISION, Revision};
 use super::handover::{ANSWER_TIMEOUT, Handover, Outgoing};
 use super::link::{Message, Reader, Writer, link};
-use super::rendezvous::listen;
+use super::rendezvous::Rendezvous;
 use super::replication::Side;
 use crate::exchange::{EngineEvent, EngineState};
 use crate::interface::Millis;
@@ -13,7 +13,7 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use tokio::net::{UnixListener, UnixStream};
+use tokio::net::UnixStream;
 use tokio::sync::mpsc;
 
 /// The time within which the next process must be able to serve after it got the sockets, in milliseconds;
@@ -23,44 +23,49 @@
 const ACCEPT_RETRY: Millis = 50.0;
 /// The delay before the next attempt to listen for the next process, in milliseconds.
 const LISTEN_RETRY: Millis = 500.0;
+/// The delay before the next look whether another process still serves at this address, in milliseconds: short at
+/// first, as a process that ends closes its link a moment before its listener.
+const SERVED_RETRY: [Millis; 5] = [2.0, 5.0, 20.0, 50.0, 100.0];
+/// The delay before each later look, in milliseconds.
+const SERVED_INTERVAL: Millis = 500.0;
+
 impl Handover {
     /// Waits for the next process and hands over to it; if that one ends while this one still serves, waits
     /// for another. Returns once this process drains.
     pub async fn serve_successor(self: Rc<Self>, path: PathBuf, mut outgoing: Outgoing) {
-        let listener = self.listen(&path).await;
+        let mut rendezvous = self.listen(&path).await;
+        self.replication.claim(rendezvous.claim());
         let mut phase = self.phase.clone();
         loop {
             let active = *self.role.borrow() == Role::Active;
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                accepted = rendezvous.listener.accept() => accepted,
                 // A draining process gives no sockets away, and closes its copy of the listener here:
                 // otherwise the kernel would still complete clients' connections that no process serves.
                 Ok(_) = phase.wait_for(|phase| *phase == Phase::Draining), if active => return,
             };
             match accepted {
                 Ok((stream, _)) => {
-                    if let Err(e) = self.hand_over(stream, &mut outgoing).await {
-                        info!(self.log, "the next process is gone"; "why" => %e);
+                    match self.hand_over(stream, &mut outgoing).await {
+                        // Another process looked whether one serves here.
+                        Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => {}
+                        Err(e) => info!(self.log, "the next process is gone"; "why" => %e),
+                        Ok(()) => {}
                     }
                     self.replication.unlink(Side::Successor);
-                    self.resume().await;
+                    self.resume(&path, &mut rendezvous, &mut outgoing).await;
                 }
                 Err(_) => self.deadlines.sleep(ACCEPT_RETRY).await,
             }
-            // What was queued for the next process when it ended stays here.
-            while let Ok(connection) = outgoing.clients.try_recv() {
-                let _ = self.adopted_clients.send(connection);
-            }
-            while outgoing.backends.try_recv().is_ok() || outgoing.ended_attempts.try_recv().is_ok() {}
         }
     }
 
     /// Listens for the next process, as soon as that is possible.
-    async fn listen(&self, path: &Path) -> UnixListener {
+    async fn listen(&self, path: &Path) -> Rendezvous {
         let mut logged = false;
         loop {
-            match listen(path) {
-                Ok(listener) => return listener,
+            match Rendezvous::listen(path) {
+                Ok(rendezvous) => return rendezvous,
                 Err(e) if !logged => {
                     logged = true;
                     warn!(self.log, "the next process will get no sockets"; "error" => %e);
@@ -71,14 +76,53 @@
         }
     }
 
-    /// Leads and becomes active again if the next process has ended while this one still serves. If this one was told to
-    /// stop, it only finishes what it still has.
-    async fn resume(&self) {
+    /// Leads and becomes active again if the next process has ended. As long as another process serves at this address,
+    /// this one only finishes what it still has.
+    async fn resume(&self, path: &Path, rendezvous: &mut Rendezvous, outgoing: &mut Outgoing) {
+        self.take_back(outgoing);
+        let mut pauses = SERVED_RETRY.into_iter();
+        while rendezvous.claim().is_lost().await {
+            match pauses.next() {
+                Some(pause) => self.deadlines.sleep(pause).await,
+                None => {
+                    self.yield_address();
+                    self.take_back(outgoing);
+                    self.replication.follow_elsewhere().await;
+                    self.deadlines.sleep(SERVED_INTERVAL).await;
+                }
+            }
+        }
+        if !rendezvous.claim().is_found() {
+            *rendezvous = self.listen(path).await;
+            self.replication.claim(rendezvous.claim());
+        }
         {
             let _order = self.replication.hold().await;
             self.replication.lead().await;
         }
-        if *self.role.borrow() != Role::Retiring {
+        self.resume_role();
+        self.take_back(outgoing);
+    }
+
+    /// Serves here what was queued for the next process when it ended.
+    fn take_back(&self, outgoing: &mut Outgoing) {
+        while let Ok(connection) = outgoing.clients.try_recv() {
+            let _ = self.adopted_clients.send(connection);
+        }
+        while outgoing.backends.try_recv().is_ok() || outgoing.ended_attempts.try_recv().is_ok() {}
+    }
+
+    /// Stops passing connections on, as another process serves at this address and there is no link to it.
+    fn yield_address(&self) {
+        if *self.role.borrow() == Role::Retiring {
+            warn!(self.log, "another process serves at this address");
+            self.role.send_replace(Role::Detached);
+        }
+    }
+
+    /// Becomes active again if this process still serves. If it was told to stop, it only finishes what it still has.
+    fn resume_role(&self) {
+        if *self.role.borrow() == Role::Active {
             return;
         }
         if *self.phase.borrow() == Phase::Serving {
@@ -118,6 +162,7 @@
         let hello = self.deadlines.within(ANSWER_TIMEOUT, reader.next()).await;
         match hello {
             Some(Ok(Some(Message { frame: Frame::Hello(LAYOUT_VERSION, revision), .. }))) => Ok(revision),
+            Some(Ok(None)) => Err(io::ErrorKind::UnexpectedEof.into()),
             _ => Err(io::Error::other("it uses another version of the frames")),
         }
     }
