Keep the link to a process that hangs, so that it follows once it goes on

What callers saw: an old process that hung while a new one started or took over, and went on, served beside it with the bans, the drain and the quotas that it knew; calls at either did not hold at the other, and a drain was unknown to the new one.

Cause: a process that gave the other one up closed the link, and so told it that it had ended.

Evidence,: an old process that is stopped while the new one stands by, and continued after that serves, logs `another process takes over` and then `serving again`, while the new one runs.

Change: the new process keeps the link. The old one hands over late, or, if it gave no sockets in time, is told that the new one leads, and follows. The new one claims its place before it serves; a drained process leaves a file for one that finds it hanging; a link that breaks too early is made anew. Why that works: a process reads what waits on its link before it can take its end for the other one's.

--- a/src/node.rs
+++ b/src/node.rs
@@ -37,9 +37,9 @@
 use crate::stats::{MemoryOwner, Stats};
 use crate::subset::Subset;
 use crate::upgrade::handover::{Handover, Outgoing};
-use crate::upgrade::rendezvous::{self, Found, PredecessorLink};
+use crate::upgrade::rendezvous::{self, Found, PredecessorLink, Rendezvous};
 use crate::upgrade::replication::{Leader, Replication};
-use crate::upgrade::settings::{OperatorSettings, load_disabled};
+use crate::upgrade::settings::{OperatorSettings, SettingsFiles, load_disabled};
 use bytes::Bytes;
 use slog::{Logger, info, warn};
 use socket2::{Domain, Socket, Type};
@@ -88,13 +88,24 @@
     pub listener: TcpListener,
     /// The peers' socket; if it is `None` and peers are configured, one is bound.
     pub peers: Option<std::net::UdpSocket>,
-    /// The link to the old process that the sockets come from, or `None` if they were bound by this process.
-    pub link: Option<PredecessorLink>,
+    /// The process that served at this address before.
+    pub predecessor: Predecessor,
+}
+
+/// The process that served at an address before this one.
+#[derive(Debug)]
+pub enum Predecessor {
+    /// There is none.
+    None,
+    /// It has given its sockets, and hands over on this link.
+    Linked(PredecessorLink),
+    /// It does not answer on this link.
+    Silent(PredecessorLink),
 }
 
 impl From<TcpListener> for Sockets {
     fn from(listener: TcpListener) -> Self {
-        Self { listener, peers: None, link: None }
+        Self { listener, peers: None, predecessor: Predecessor::None }
     }
 }
 
@@ -110,17 +121,21 @@
             }),
             None => Found::Nobody,
         };
-        if let Found::Sockets(inherited) = found {
-            let listener = std::net::TcpListener::from(inherited.listener);
-            let peers = inherited.peers.map(std::net::UdpSocket::from);
-            listener.set_nonblocking(true)?;
-            peers.as_ref().map(|peers| peers.set_nonblocking(true)).transpose()?;
-            return Ok(Self {
-                listener: TcpListener::from_std(listener)?,
-                peers,
-                link: Some(inherited.link),
-            });
-        }
+        let predecessor = match found {
+            Found::Nobody => Predecessor::None,
+            Found::Silent(link) => {
+                warn!(log, "no sockets from the old process"; "why" => "it does not answer");
+                Predecessor::Silent(link)
+            }
+            Found::Sockets(inherited) => {
+                let listener = std::net::TcpListener::from(inherited.listener);
+                let peers = inherited.peers.map(std::net::UdpSocket::from);
+                listener.set_nonblocking(true)?;
+                peers.as_ref().map(|peers| peers.set_nonblocking(true)).transpose()?;
+                let listener = TcpListener::from_std(listener)?;
+                return Ok(Self { listener, peers, predecessor: Predecessor::Linked(inherited.link) });
+            }
+        };
         let socket = match instance.listen {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -131,7 +146,8 @@
         }
         socket.bind(instance.listen)?;
         let backlog = instance.limits.listen_backlog(instance.limits.socket_buffer_bytes());
-        Ok(socket.listen(u32::try_from(backlog).unwrap_or(u32::MAX))?.into())
+        let listener = socket.listen(u32::try_from(backlog).unwrap_or(u32::MAX))?;
+        Ok(Self { listener, peers: None, predecessor })
     }
 }
 
@@ -333,10 +349,13 @@
             engine_exchange.send(EngineEvent::Operate(operation, reply));
             Box::pin(async move { answer.await.unwrap_or(Err("the engine has ended")) })
         };
+        let files = disabled_file.zip(shared_path(instance, "drained")).map(|(disabled, drained)| {
+            SettingsFiles { disabled: RetriedFile::new(disabled, deadlines.clone(), log.clone()), drained }
+        });
         let settings = OperatorSettings {
             engine: Box::new(engine),
             drain: drain.clone(),
-            disabled_file: disabled_file.map(|path| RetriedFile::new(path, deadlines.clone(), log.clone())),
+            files,
             cluster: cluster.clone(),
         };
         let leader = if *role.borrow() == Role::Standby { Leader::Unknown } else { Leader::This };
@@ -491,7 +510,7 @@
     let (site, generation) = (&instance.site, known.as_ref().map(|known| known.generation));
     let ConnectionLimits { clients, rejected_clients, backends } = instance.limits.connection_limits();
     let elsewhere = PredecessorConnections::default();
-    let Sockets { listener, peers, link } = sockets.into();
+    let Sockets { listener, peers, predecessor } = sockets.into();
     let peers = match instance.peer_listen.filter(|_| site.settings.peers) {
         Some(at) if peers.is_none() => Some(bind_peers(&instance, at)?),
         _ => peers,
@@ -499,7 +518,8 @@
     let copy = |socket: BorrowedFd<'_>| socket.try_clone_to_owned();
     let outgoing_listener = copy(listener.as_fd())?;
     let outgoing_peers = peers.as_ref().map(|peers| copy(peers.as_fd())).transpose()?;
-    let role = if link.is_some() { Role::Standby } else { Role::Active };
+    let is_linked = matches!(predecessor, Predecessor::Linked(_));
+    let role = if is_linked { Role::Standby } else { Role::Active };
     let peers = peers.map(UdpSocket::from_std).transpose()?;
     let witness = matches!(source, BackendSource::Consul(_)).then(Rc::<FailureMonitor>::default);
     let engine_options = (clients, witness.clone());
@@ -590,9 +610,20 @@
         listener: outgoing_listener,
         peers: outgoing_peers,
     };
+    let is_silent = matches!(predecessor, Predecessor::Silent(_));
+    match predecessor {
+        Predecessor::None => core.replication.settings().forget_drain(),
+        Predecessor::Silent(_) => core.replication.settings().restore_drain(),
+        Predecessor::Linked(_) => {}
+    }
+    let claimed = path.as_deref().filter(|_| is_silent).and_then(|path| Rendezvous::listen(path).ok());
     let able = watch::Sender::new(false);
-    if let Some(link) = link {
-        spawn_local(handover.clone().take_over(link, able.subscribe()));
+    match (predecessor, &path) {
+        (Predecessor::Linked(link), Some(path)) => {
+            spawn_local(handover.clone().take_over(link, path.clone(), able.subscribe()));
+        }
+        (Predecessor::Silent(link), _) => drop(spawn_local(handover.clone().await_silent(link))),
+        _ => {}
     }
     let mut role = core.role.subscribe();
     let start_handover = move || {
@@ -600,7 +631,7 @@
         if let Some(path) = path {
             spawn_local(async move {
                 let _ = role.wait_for(|role| *role == Role::Active).await;
-                handover.serve_successor(path, outgoing).await
+                handover.serve_successor(path, claimed, outgoing).await
             });
         }
     };
--- a/src/upgrade/rendezvous.rs
+++ b/src/upgrade/rendezvous.rs
@@ -28,7 +28,7 @@
     pub reader: Reader,
     /// The writing end of the link.
     pub writer: Writer,
-    /// What the old process understands.
+    /// What the old process understands; of the first revision until it has told.
     pub revision: Revision,
 }
 
@@ -50,12 +50,14 @@
     Nobody,
     /// A process that gave its sockets.
     Sockets(InheritedSockets),
+    /// A process that does not answer, and the link to it.
+    Silent(PredecessorLink),
 }
 
 /// Requests the sockets of the old process.
 ///
 /// # Errors
-/// Errors of the link, and an error if the old process does not answer in time or answers with another frame.
+/// Errors of the link, and an error if the old process answers with another frame.
 pub async fn request_sockets(path: &Path) -> io::Result<Found> {
     let stream = match UnixStream::connect(path).await {
         Ok(stream) => stream,
@@ -79,7 +81,7 @@
         }
         Ok(Err(e)) => Err(e),
         Ok(Ok(_)) => Err(io::Error::other("the old process sent no sockets")),
-        Err(_) => Err(io::Error::other("the old process does not answer")),
+        Err(_) => Ok(Found::Silent(link(Revision::FIRST))),
     }
 }
 
--- a/src/upgrade/replication.rs
+++ b/src/upgrade/replication.rs
@@ -267,7 +267,7 @@
         let _order = self.hold().await;
         let peer = Peer::new(outbox, revision);
         if peer.replicates() {
-            if side == Side::Successor {
+            if side == Side::Successor || self.leads() {
                 peer.send(Frame::Operators(self.0.settings.state().await));
             } else if *self.0.leader.borrow() == Leader::Unknown {
                 self.set_leader(Leader::Predecessor);
@@ -292,14 +292,14 @@
 
     /// Has this process follow its successor. Must be called with changes on hold.
     pub(super) fn follow_successor(&self) {
-        self.0.settings.leave_file();
+        self.0.settings.leave_files();
         self.set_leader(Leader::Successor);
     }
 
     /// Has this process follow the file of another one that serves at this address and to which there is no link.
     pub(super) async fn follow_elsewhere(&self) {
         self.set_leader(Leader::Elsewhere);
-        self.0.settings.leave_file();
+        self.0.settings.leave_files();
         self.0.settings.follow_file().await;
     }
 
@@ -345,7 +345,7 @@
         if from == Side::Predecessor && self.leads() {
             return;
         }
-        self.0.settings.leave_file();
+        self.0.settings.leave_files();
         self.0.settings.replace(state.clone()).await;
         self.set_leader(from.leader());
         let other = self.peer(from.other()).borrow();
--- a/src/upgrade/settings.rs
+++ b/src/upgrade/settings.rs
@@ -1,4 +1,4 @@
-//! What operators have changed at this process: disabled backends, their file, and the drain.
+//! What operators have changed at this process: disabled backends, the drain, and the files that keep both.
 
 use super::change::{Change, OperatorState};
 use crate::admin::command::CommandError;
@@ -11,7 +11,7 @@
 use crate::net::server_side::Drain;
 use slog::{Logger, warn};
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use tokio::sync::{mpsc, watch};
 
@@ -24,13 +24,22 @@
     pub engine: OperationHandler,
     /// Whether this instance is drained.
     pub drain: watch::Sender<Drain>,
-    /// The file that keeps the names of the disabled backends for a process that cannot be told of them, or `None` to keep
-    /// nothing. Only the process that leads writes it.
-    pub disabled_file: Option<RetriedFile>,
+    /// The files that keep the changes, or `None` to keep nothing.
+    pub files: Option<SettingsFiles>,
     /// The view of the fleet and the queue of notices to publish, or `None` if no fleet is configured.
     pub cluster: Option<(SharedCluster, mpsc::UnboundedSender<LocalNotice>)>,
 }
 
+/// The files that keep operators' changes for a process that cannot be told of them. Only the process that leads writes
+/// them.
+#[derive(Debug)]
+pub struct SettingsFiles {
+    /// The names of the disabled backends.
+    pub disabled: RetriedFile,
+    /// Exists while the instance is drained.
+    pub drained: PathBuf,
+}
+
 impl OperatorSettings {
     /// Carries out a change as the process that leads.
     ///
@@ -42,10 +51,12 @@
             Change::EnableBackend(name) => Operation::Enable(name.clone()),
             Change::Drain => {
                 self.set_drain(true);
+                self.save_drain();
                 return Ok(());
             }
             Change::Resume => {
                 self.set_drain(false);
+                self.save_drain();
                 return Ok(());
             }
             Change::DrainIngress(name, drained) => return self.drain_ingress(name, *drained),
@@ -81,40 +92,62 @@
         self.set_drain(state.drained);
     }
 
-    /// Has the file tell what is in force here, as this process leads from now on.
+    /// Restores the drain of the process before this one, which runs and does not answer.
+    pub fn restore_drain(&self) {
+        if self.files.as_ref().is_some_and(|files| files.drained.exists()) {
+            self.set_drain(true);
+        }
+    }
+
+    /// Removes what tells of the drain of a process that has ended: a drain ends with the last process at an address.
+    pub fn forget_drain(&self) {
+        self.save_drain();
+    }
+
+    /// Has the files tell what is in force here, as this process leads from now on.
     pub(super) async fn save(&self) {
         let disabled = self.state().await.disabled;
         let is_kept = |file: &RetriedFile| match std::fs::read(file.path()) {
             Ok(content) => content == encode_disabled(&disabled).as_bytes(),
             Err(e) => e.kind() == io::ErrorKind::NotFound && disabled.is_empty(),
         };
-        if self.disabled_file.as_ref().is_some_and(|file| !is_kept(file)) {
+        if self.files.as_ref().is_some_and(|files| !is_kept(&files.disabled)) {
             self.save_disabled(&disabled);
         }
+        self.save_drain();
     }
 
-    /// Leaves the file to the process that leads from now on.
-    pub(super) fn leave_file(&self) {
-        if let Some(file) = &self.disabled_file {
-            file.give_up();
+    /// Leaves the files to the process that leads from now on.
+    pub(super) fn leave_files(&self) {
+        if let Some(files) = &self.files {
+            files.disabled.give_up();
         }
     }
 
     /// Puts in force what the file of disabled backends says, which another process keeps.
     pub(super) async fn follow_file(&self) {
-        let Some(file) = &self.disabled_file else { return };
-        let text = std::fs::read_to_string(file.path()).ok();
+        let Some(files) = &self.files else { return };
+        let text = std::fs::read_to_string(files.disabled.path()).ok();
         if let Some(disabled) = text.as_deref().and_then(decode_disabled) {
             let _: OperationResult = (self.engine)(Operation::Replace(disabled)).await;
         }
     }
 
     fn save_disabled(&self, disabled: &[String]) {
-        if let Some(file) = &self.disabled_file {
-            file.write(encode_disabled(disabled).into_bytes());
+        if let Some(files) = &self.files {
+            files.disabled.write(encode_disabled(disabled).into_bytes());
         }
     }
 
+    fn save_drain(&self) {
+        let Some(files) = &self.files else { return };
+        // The file matters only where this process hangs when the next one starts, so a failure is not tried again.
+        let _: io::Result<()> = match *self.drain.borrow() {
+            Drain::Inactive => std::fs::remove_file(&files.drained),
+            Drain::Announced | Drain::Closing => std::fs::write(&files.drained, []),
+        };
+    }
+
     /// Begins or ends the drain of this instance.
     fn set_drain(&self, drained: bool) {
         self.drain.send_if_modified(|drain| {
--- a/src/upgrade/successor.rs
+++ b/src/upgrade/successor.rs
@@ -29,11 +29,28 @@
 /// The delay before each later look, in milliseconds.
 const SERVED_INTERVAL: Millis = 500.0;
 
+/// How far the next process has come when its link begins to carry what passes between two processes that run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// It is able to serve, and asks for the state.
+    TakesOver,
+    /// It serves already: this process did not answer in time.
+    Leads,
+}
+
 impl Handover {
     /// Waits for the next process and hands over to it; if that one ends while this one still serves, waits
-    /// for another. Returns once this process drains.
-    pub async fn serve_successor(self: Rc<Self>, path: PathBuf, mut outgoing: Outgoing) {
-        let mut rendezvous = self.listen(&path).await;
+    /// for another. Returns once this process drains. `claimed` is where the next process finds this one already.
+    pub async fn serve_successor(
+        self: Rc<Self>,
+        path: PathBuf,
+        claimed: Option<Rendezvous>,
+        mut outgoing: Outgoing,
+    ) {
+        let mut rendezvous = match claimed {
+            Some(rendezvous) => rendezvous,
+            None => self.listen(&path).await,
+        };
         self.replication.claim(rendezvous.claim());
         let mut phase = self.phase.clone();
         loop {
@@ -144,13 +161,15 @@
         if revision >= Revision::REPLICATION {
             self.replication.link(Side::Successor, outbox.clone(), revision).await;
         }
-        let stand_by = self.stand_by(&mut reader, &mut writer, &mut messages);
-        match self.deadlines.within(START_TIMEOUT, stand_by).await {
-            Some(able) => able?,
+        let step = self.stand_by(&mut reader, &mut writer, &mut messages);
+        let step = match self.deadlines.within(START_TIMEOUT, step).await {
+            Some(step) => step?,
             None => return Err(io::Error::other("it did not take over in time")),
+        };
+        if step == Step::TakesOver {
+            info!(self.log, "another process takes over");
+            self.retire(&mut writer).await?;
         }
-        info!(self.log, "another process takes over");
-        self.retire(&mut writer).await?;
         if revision < Revision::REPLICATION {
             self.replication.link(Side::Successor, outbox, revision).await;
         }
@@ -187,13 +206,19 @@
         reader: &mut Reader,
         writer: &mut Writer,
         messages: &mut mpsc::UnboundedReceiver<Message>,
-    ) -> io::Result<()> {
+    ) -> io::Result<Step> {
         loop {
             tokio::select! {
                 biased;
                 read = reader.next() => match read? {
-                    Some(Message { frame: Frame::TakeOver, .. }) => return Ok(()),
-                    Some(message) => self.handle(Side::Successor, message).await,
+                    Some(Message { frame: Frame::TakeOver, .. }) => return Ok(Step::TakesOver),
+                    Some(message) => {
+                        let leads = matches!(message.frame, Frame::Operators(_));
+                        self.handle(Side::Successor, message).await;
+                        if leads {
+                            return Ok(Step::Leads);
+                        }
+                    }
                     None => return Err(io::Error::other("it closed the link")),
                 },
                 Some(message) = messages.recv() => writer.write(&message).await?,
--- a/tests/operator_changes.rs
+++ b/tests/operator_changes.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::net::{TcpStream, UnixListener, UnixStream};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use weldhub::exchange::EngineState;
 use weldhub::upgrade::frame::{BackendOperation, Frame, LAYOUT_VERSION, Revision};
 use weldhub::upgrade::link::{Message, Reader, Writer, link};
@@ -172,6 +172,82 @@
     });
 }
 
+/// Guards against a call that is told to have failed and is carried out later, by a process that had hung.
+#[test]
+fn a_call_that_a_hung_process_cannot_confirm_fails_and_changes_nothing_once_it_goes_on() {
+    local(async {
+        let site = site("hung").await;
+        let mut old = site.start(0).await;
+        let mut new = stand_by(&site, 1).await;
+        old.signal("STOP");
+        let began = Instant::now();
+        let answer = call(site.admin[1], "disable-server s1\n").await;
+        assert_eq!(answer, "fail no answer in time from the process that serves\n");
+        assert!(began.elapsed() < Duration::from_secs(1), "operators are owed an answer within 1 s");
+        let stopped = site.admin[0];
+        let called = spawn_local(async move { call(stopped, "drain\n").await });
+        // The new process goes on without the old one, and decides.
+        new.serving().await;
+        ok_call(site.admin[1], "disable-server s2").await;
+        old.signal("CONT");
+        old.wait_for_log("a change of the process that leads is followed").await;
+        assert!(called.await.unwrap().starts_with("ok"), "it reaches the process that leads");
+        ready(site.admin[1]).await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        // The old one follows, so it goes on with what the new one had, should that end.
+        ok_call(site.admin[1], "resume").await;
+        new.child.kill().unwrap();
+        new.end().await;
+        old.wait_for_log("serving again").await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], true));
+    });
+}
+
+/// Guards against an old process that hung before the new one started, and then serves on with what it knew.
+#[test]
+fn an_old_process_that_hung_when_the_new_one_started_follows_it_once_it_goes_on() {
+    local(async {
+        let site = site("silent").await;
+        let mut old = site.start(0).await;
+        ok_call(site.admin[0], "disable-server s1").await;
+        ok_call(site.admin[0], "drain").await;
+        old.signal("STOP");
+        let stopped = site.admin[0];
+        let called = spawn_local(async move { call(stopped, "enable-server s1\n").await });
+        let mut new = site.spawn(1);
+        new.serving().await;
+        assert_eq!(figures(site.admin[1]).await["svc_members_unavailable"], 1);
+        ok_call(site.admin[1], "disable-server s2").await;
+        old.signal("CONT");
+        new.wait_for_log("the old process answers late").await;
+        // It was called while it hung: either it was too late, or the process that leads did it.
+        let answer = called.await.unwrap();
+        let is_enabled = answer == "ok\n";
+        assert!(is_enabled || answer.starts_with("fail another process serves"), "{answer}");
+        let unavailable = if is_enabled { 1 } else { 2 };
+        for admin in [site.admin[0], site.admin[1]] {
+            let mut seen = 9;
+            for _ in 0..50 {
+                seen = figures(admin).await["svc_members_unavailable"];
+                if seen == unavailable {
+                    break;
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+            assert_eq!(seen, unavailable);
+        }
+        assert!(!is_in_rotation(&site).await, "the drain holds at the new process");
+        ok_call(site.admin[0], "resume").await;
+        assert!(is_in_rotation(&site).await);
+        ok_call(site.admin[1], "enable-server s2").await;
+        new.child.kill().unwrap();
+        new.end().await;
+        let next = site.start(2).await;
+        assert_eq!(figures(site.admin[2]).await["svc_members_unavailable"], unavailable - 1);
+        drop((next, old.child.kill()));
+    });
+}
+
 /// Guards against calls that reach only one neighbour of the middle one of three processes.
 #[test]
 fn calls_at_any_of_three_processes_hold_at_all_of_them() {
@@ -275,6 +351,29 @@
     });
 }
 
+/// Guards against a new process that serves beside the old one, with other settings, as its link broke too early.
+#[test]
+fn a_new_process_whose_link_breaks_before_it_takes_over_finds_the_old_one_again() {
+    local(async {
+        let site = site("cut-early").await;
+        let old = site.start(0).await;
+        let folder = site.folder.join("new");
+        std::fs::create_dir(&folder).unwrap();
+        let at = folder.join(site.file("next").file_name().unwrap());
+        let relay = LinkRelay::start(&at, &site.file("next"), |_| false);
+        let new = site.spawn_in(&folder, 1);
+        answers_operators(site.admin[1]).await;
+        relay.cut();
+        ok_call(site.admin[1], "disable-server s1").await;
+        ok_call(site.admin[0], "drain").await;
+        ready(site.admin[1]).await;
+        assert_eq!(call(site.admin[0], "ready\n").await, "fail not ready\n", "one process serves");
+        ok_call(site.admin[0], "resume").await;
+        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true));
+        drop((old, new));
+    });
+}
+
 /// Guards against a process that hangs for good and is to miss more than its link can hold.
 #[test]
 fn changes_are_refused_before_they_overflow_the_link_to_a_process_that_hangs() {
--- a/tests/stand_ins/link_relay.rs
+++ b/tests/stand_ins/link_relay.rs
@@ -12,12 +12,19 @@
 /// Tells whether a frame is to be held back.
 pub type IsHeld = fn(&Frame) -> bool;
 
-/// A relay of one link.
+/// A relay of the links of next processes, one after the other.
 pub struct LinkRelay {
     held: Rc<Held>,
+    cut: Rc<Notify>,
     task: JoinHandle<()>,
 }
 
+impl Drop for LinkRelay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 #[derive(Default)]
 struct Held {
     is_held: Cell<bool>,
@@ -38,18 +45,21 @@
     /// that `is_held` names, and all behind it, wait until they are released.
     pub fn start(at: &Path, to: &Path, is_held: IsHeld) -> Self {
         let listener = UnixListener::bind(at).unwrap();
-        let (held, to) = (Rc::<Held>::default(), to.to_owned());
-        let shared = held.clone();
+        let (held, cut, to) = (Rc::<Held>::default(), Rc::<Notify>::default(), to.to_owned());
+        let (shared, cuts) = (held.clone(), cut.clone());
         let task = spawn_local(async move {
-            let (next, _) = listener.accept().await.unwrap();
-            let (next_reader, next_writer) = link(next);
-            let (old_reader, old_writer) = link(UnixStream::connect(&to).await.unwrap());
-            tokio::select! {
-                () = pass(next_reader, old_writer, is_held, &shared) => {}
-                () = pass(old_reader, next_writer, is_held, &shared) => {}
+            loop {
+                let (next, _) = listener.accept().await.unwrap();
+                let (next_reader, next_writer) = link(next);
+                let (old_reader, old_writer) = link(UnixStream::connect(&to).await.unwrap());
+                tokio::select! {
+                    () = pass(next_reader, old_writer, is_held, &shared) => {}
+                    () = pass(old_reader, next_writer, is_held, &shared) => {}
+                    () = cuts.notified() => {}
+                }
             }
         });
-        Self { held, task }
+        Self { held, cut, task }
     }
 
     /// Waits until a frame is held back.
@@ -63,9 +73,9 @@
         self.held.changed.notify_waiters();
     }
 
-    /// Cuts the link.
+    /// Cuts the present link.
     pub fn cut(&self) {
-        self.task.abort();
+        self.cut.notify_one();
     }
 }
 
