Count answers that callers of the authorisation front give no window for

What callers saw: a caller that opens streams with a window of 0 and answers pings made the front hold all its answers, beyond the memory limit.

Cause: an answer was counted only while it waited to be written, and a stream that came to its answer after its connection had been evicted did not hear of that.

Change: an answer is counted from when it is there; eviction is a state of the connection. The service is shared by the checks of all connections in place of three clones a check.

--- a/src/fronts/ext_authz/caller.rs
+++ b/src/fronts/ext_authz/caller.rs
@@ -40,7 +40,7 @@
 /// What all connections share.
 #[derive(Clone)]
 pub(super) struct Callers {
-    pub(super) service: CheckService,
+    pub(super) service: Rc<CheckService>,
     pub(super) memory: CallerMemory,
     pub(super) log: Logger,
 }
@@ -69,8 +69,6 @@
     refused: usize,
     /// Whether the last look at what its streams hold found too much.
     exceeded_share: bool,
-    /// Whether it takes no more checks, as its streams held too much for too long.
-    is_evicted: bool,
 }
 
 impl Callers {
@@ -114,7 +112,6 @@
             checks: FuturesUnordered::new(),
             refused: 0,
             exceeded_share: false,
-            is_evicted: false,
         };
         tokio::select! {
             end = connection.serve(closing) => end,
@@ -129,7 +126,7 @@
         let mut share_checks = interval(SHARE_CHECK_INTERVAL);
         share_checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            if self.is_evicted && self.checks.is_empty() {
+            if self.memory.is_evicted() && self.checks.is_empty() {
                 return self.shut_down().await;
             }
             let is_beyond_share = self.memory.is_beyond_share();
@@ -155,7 +152,7 @@
     /// Takes a check whose head has been received, or refuses it if there is no memory for it.
     fn open(&mut self, request: http::Request<RecvStream>, mut respond: SendResponse<Bytes>) {
         let bytes = stream_bytes(request.headers());
-        if self.is_evicted || self.memory.exceeds_share(bytes) {
+        if self.memory.is_evicted() || self.memory.exceeds_share(bytes) {
             respond.send_reset(Reason::REFUSED_STREAM);
             self.callers.service.stats().refused(RefusalReason::NoMemory);
             self.refused += 1;
@@ -185,8 +182,7 @@
     /// Refuses the streams that wait for the caller. The connection takes no more, and closes once its other checks are
     /// answered.
     fn evict(&mut self) {
-        if !std::mem::replace(&mut self.is_evicted, true) {
-            self.memory.evict();
+        if self.memory.evict() {
             info!(self.callers.log, "a caller's streams hold too much"; "refused" => self.refused);
         }
     }
--- a/src/fronts/ext_authz/caller_memory.rs
+++ b/src/fronts/ext_authz/caller_memory.rs
@@ -13,7 +13,7 @@
 
 /// The memory of a stream without its head and body, in bytes: its task, its state in the HTTP/2 connection, and a read
 /// buffer that a part of its head keeps.
-const STREAM_BYTES: usize = 8 * 1024;
+pub(super) const STREAM_BYTES: usize = 8 * 1024;
 /// The memory of a header field without its name and value, in bytes: its entry, in a map that has room for twice as many.
 const FIELD_BYTES: usize = 256;
 /// A check of up to this many bytes is always taken: the engine's table bounds their number.
@@ -54,8 +54,8 @@
 
     /// Returns the account of a new connection.
     pub(super) fn connection(&self) -> Rc<ConnectionMemory> {
-        let (waiting_bytes, evicted) = (Cell::new(0), Notify::new());
-        Rc::new(ConnectionMemory { memory: self.clone(), waiting_bytes, evicted })
+        let (waiting_bytes, is_evicted, evicted) = Default::default();
+        Rc::new(ConnectionMemory { memory: self.clone(), waiting_bytes, is_evicted, evicted })
     }
 }
 
@@ -64,6 +64,9 @@
 pub(super) struct ConnectionMemory {
     memory: CallerMemory,
     waiting_bytes: Cell<usize>,
+    /// Whether it takes no more checks, as its streams held too much for too long.
+    is_evicted: Cell<bool>,
+    /// Wakes the streams that wait for their caller then.
     evicted: Notify,
 }
 
@@ -80,14 +83,22 @@
         is_beyond_share && self.memory.waiting.is_half_taken()
     }
 
-    /// Has the streams that wait for their caller end.
-    pub(super) fn evict(&self) {
+    /// Has the streams end that wait for their caller, now or later. Returns `false` if they were told before.
+    pub(super) fn evict(&self) -> bool {
         self.evicted.notify_waiters();
+        !self.is_evicted.replace(true)
+    }
+
+    /// Returns whether the streams that wait for their caller end.
+    pub(super) fn is_evicted(&self) -> bool {
+        self.is_evicted.get()
     }
 
     /// Resolves once the streams that wait for their caller must end.
     pub(super) async fn evicted(&self) {
-        self.evicted.notified().await;
+        if !self.is_evicted() {
+            self.evicted.notified().await;
+        }
     }
 
     /// Returns a reservation for a stream that waits for its caller and holds `bytes` already.
--- a/src/fronts/ext_authz/check_stream.rs
+++ b/src/fronts/ext_authz/check_stream.rs
@@ -1,7 +1,7 @@
 //! A stream of a caller's connection: receives a check, has it answered, and sends the answer.
 
 use super::caller_io::IoState;
-use super::caller_memory::{ConnectionMemory, WaitingStream};
+use super::caller_memory::{ConnectionMemory, STREAM_BYTES, WaitingStream};
 use super::proto::CHECK;
 use super::service::CheckService;
 use crate::net::http::MAX_BUFFERED_BODY_BYTES;
@@ -20,7 +20,7 @@
 
 /// A stream whose head has been received.
 pub(super) struct CheckStream {
-    pub(super) service: CheckService,
+    pub(super) service: Rc<CheckService>,
     pub(super) connection: Rc<ConnectionMemory>,
     pub(super) io: Rc<IoState>,
     pub(super) respond: SendResponse<Bytes>,
@@ -51,31 +51,38 @@
     }
 
     async fn answer(&mut self, request: http::Request<RecvStream>) -> Result<(), StreamEnd> {
-        if request.uri().path() != CHECK {
-            let status = Status::unimplemented("there is only Authorization/Check");
-            return self.send(status.into_http()).await;
-        }
-        let (head, body) = request.into_parts();
         let connection = self.connection.clone();
-        let message = tokio::select! {
-            biased;
-            message = self.receive(body) => message?,
-            () = connection.evicted() => return Err(StreamEnd::NoMemory),
+        let response = if request.uri().path() == CHECK {
+            let (head, body) = request.into_parts();
+            let message = tokio::select! {
+                biased;
+                message = self.receive(body) => message?,
+                () = connection.evicted() => return Err(StreamEnd::NoMemory),
+            };
+            self.check(http::Request::from_parts(head, Full::new(message))).await?
+        } else {
+            Status::unimplemented("there is only Authorization/Check").into_http()
         };
+        tokio::select! {
+            biased;
+            sent = self.send(response) => sent,
+            () = connection.evicted() => Err(StreamEnd::NoMemory),
+        }
+    }
+
+    /// Has a check answered whose message has been received whole.
+    async fn check(
+        &mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<Body>, StreamEnd> {
         let reservation = self.connection.hold_check(self.waiting.bytes());
         self.waiting.hold(0);
-        let request = http::Request::from_parts(head, Full::new(message));
         let respond = &mut self.respond;
-        let response = tokio::select! {
-            biased;
-            // Dropping the check ends the request.
-            _ = poll_fn(|cx| respond.poll_reset(cx)) => return Err(StreamEnd::CallerLeft),
-            response = self.service.answer(request, reservation) => response,
-        };
         tokio::select! {
             biased;
-            sent = self.send(response) => sent,
-            () = connection.evicted() => Err(StreamEnd::NoMemory),
+            // Dropping the check ends the request.
+            _ = poll_fn(|cx| respond.poll_reset(cx)) => Err(StreamEnd::CallerLeft),
+            response = self.service.answer(request, reservation) => Ok(response),
         }
     }
 
@@ -105,47 +112,45 @@
 
     /// Sends an answer, as fast as the caller takes it.
     async fn send(&mut self, response: http::Response<Body>) -> Result<(), StreamEnd> {
-        let (head, mut body) = response.into_parts();
+        let (head, body) = response.into_parts();
+        let head = http::Response::from_parts(head, ());
+        let Ok(body) = body.collect().await else {
+            self.respond.send_reset(Reason::INTERNAL_ERROR);
+            return Ok(());
+        };
+        let trailers = body.trailers().cloned();
+        let data = body.to_bytes();
+        self.waiting.hold(STREAM_BYTES + data.len());
         self.writable().await;
-        let is_end = http_body::Body::is_end_stream(&body);
-        let mut stream = self.respond.send_response(http::Response::from_parts(head, ()), is_end)?;
+        let is_end = data.is_empty() && trailers.is_none();
+        let mut stream = self.respond.send_response(head, is_end)?;
         if is_end {
             return Ok(());
         }
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                stream.send_reset(Reason::INTERNAL_ERROR);
-                return Ok(());
-            };
-            match frame.into_data() {
-                Ok(data) => self.send_data(&mut stream, data).await?,
-                Err(frame) => {
-                    if let Ok(trailers) = frame.into_trailers() {
-                        return Ok(stream.send_trailers(trailers)?);
-                    }
-                }
-            }
+        self.send_data(&mut stream, data).await?;
+        match trailers {
+            Some(trailers) => stream.send_trailers(trailers)?,
+            None => stream.send_data(Bytes::new(), true)?,
         }
-        Ok(stream.send_data(Bytes::new(), true)?)
+        Ok(())
     }
 
-    async fn send_data(&mut self, stream: &mut SendStream<Bytes>, mut data: Bytes) -> Result<(), StreamEnd> {
+    async fn send_data(&self, stream: &mut SendStream<Bytes>, mut data: Bytes) -> Result<(), StreamEnd> {
         while !data.is_empty() {
-            self.waiting.hold(data.len());
-            self.writable().await;
             stream.reserve_capacity(data.len());
             let capacity = match poll_fn(|cx| stream.poll_capacity(cx)).await {
                 Some(capacity) => capacity?,
                 None => return Err(StreamEnd::CallerLeft),
             };
+            self.writable().await;
             if capacity > 0 {
                 stream.send_data(data.split_to(capacity.min(data.len())), false)?;
             }
         }
-        self.waiting.hold(0);
         Ok(())
     }
 
+    /// Waits until the caller's system takes bytes.
     async fn writable(&self) {
         poll_fn(|cx| self.io.poll_writable(cx)).await;
     }
--- a/src/fronts/ext_authz/service.rs
+++ b/src/fronts/ext_authz/service.rs
@@ -43,7 +43,7 @@
 }
 
 /// The gRPC service `Authorization`.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct CheckService {
     front: Arc<Front>,
     exchange: Exchange<Check, Bytes>,
@@ -61,7 +61,7 @@
     /// Answers a check whose message has been received whole. `reservation` pays for it; without one there is no memory for
     /// it, and it is refused.
     pub(super) async fn answer(
-        &self,
+        self: &Rc<Self>,
         request: http::Request<Full<Bytes>>,
         reservation: Option<Rc<Reservation>>,
     ) -> http::Response<Body> {
@@ -85,7 +85,7 @@
 
 /// The call of one check.
 struct CheckCall {
-    service: CheckService,
+    service: Rc<CheckService>,
     reservation: Option<Rc<Reservation>>,
 }
 
@@ -94,15 +94,16 @@
     type Future = Pin<Box<dyn Future<Output = Result<Response<Bytes>, Status>>>>;
 
     fn call(&mut self, request: tonic::Request<Bytes>) -> Self::Future {
-        let CheckService { front, exchange, stats } = self.service.clone();
+        let service = self.service.clone();
         let Some(reservation) = self.reservation.take() else {
-            let refusal = self.service.no_room();
+            let refusal = service.no_room();
             return Box::pin(async { Ok(Response::new(refusal)) });
         };
         Box::pin(async move {
             let (metadata, _, message) = request.into_parts();
             let reservation = Some(reservation);
             let check = Check { message, metadata: Rc::new(metadata), reservation };
+            let CheckService { front, exchange, stats } = &*service;
             let request_info = front.read(&check)?;
             // A caller that cancels its check drops this future, which ends the request.
             let in_progress = stats.request_started(request_info.class);
@@ -124,7 +125,7 @@
     log: Logger,
 ) {
     let memory = CallerMemory::new(&limits, &service.stats);
-    let callers = Callers { service, memory, log: log.clone() };
+    let callers = Callers { service: Rc::new(service), memory, log: log.clone() };
     let permits = Arc::new(Semaphore::new(limits.max_connections));
     let mut phase = signals.phase.clone();
     let mut connections = JoinSet::new();
--- a/tests/authz_memory.rs
+++ b/tests/authz_memory.rs
@@ -41,6 +41,8 @@
     body: fn(u32) -> Vec<u8>,
     /// Whether the caller reads what it is sent.
     reads: bool,
+    /// The bytes of an answer that the caller takes.
+    window: u32,
 }
 
 /// A head with a field of this many bytes.
@@ -62,8 +64,9 @@
     body
 }
 
-fn usual_check() -> Bytes {
-    let headers = [("x-club", "Almaty-7"), ("x-tier", "club")];
+/// A check for a customer of this name and plan.
+fn check_of(customer: &str, plan: &str) -> Bytes {
+    let headers = [("x-club", customer), ("x-tier", plan)];
     let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
     let http = HttpRequest { method: "GET".into(), path: "/api/boards/17".into(), headers, header_map: None };
     let request = Some(Request { http: Some(http) });
@@ -136,7 +139,7 @@
         let began = Instant::now();
         let asked = async {
             let sender = open(listen).await.unwrap();
-            let mut request = tonic::Request::new(usual_check());
+            let mut request = tonic::Request::new(check_of("Almaty-7", "club"));
             request.metadata_mut().insert("grpc-timeout", "1000m".parse().unwrap());
             call(sender, listen, request).await.map_err(|(_, status)| status)
         };
@@ -156,7 +159,7 @@
     let Ok(stream) = TcpStream::connect(listen).await else { return };
     let (mut reader, mut writer) = stream.into_split();
     let writing = async {
-        writer.write_all(&opening()).await?;
+        writer.write_all(&opening(form.window)).await?;
         for n in 0..STREAMS {
             let stream = 2 * n + 1;
             writer.write_all(&head_frame(stream, &form.head)).await?;
@@ -180,12 +183,15 @@
 /// Guards against streams that each take kilobytes however short their heads are.
 #[test]
 fn many_short_heads_stay_within_the_memory_limit() {
-    play("short-heads", Form { head: check_head(), body: no_body, reads: true });
+    play("short-heads", Form { head: check_head(), body: no_body, reads: true, window: DEFAULT_WINDOW });
 }
 
 #[test]
 fn long_heads_stay_within_the_memory_limit() {
-    play("long-heads", Form { head: padded_head(15_000), body: no_body, reads: true });
+    play(
+        "long-heads",
+        Form { head: padded_head(15_000), body: no_body, reads: true, window: DEFAULT_WINDOW },
+    );
 }
 
 /// Guards against heads that take many times the bytes that they are sent as.
@@ -195,24 +201,33 @@
     for n in 0..400 {
         put_field(&mut head, &format!("{n:x}"), b"");
     }
-    play("many-fields", Form { head, body: no_body, reads: true });
+    play("many-fields", Form { head, body: no_body, reads: true, window: DEFAULT_WINDOW });
 }
 
 /// Guards against a message that claims to be long, of which a part comes.
 #[test]
 fn bodies_that_never_end_stay_within_the_memory_limit() {
     let body = |stream| data_frame(stream, 0, &[&[0, 0, 1, 0, 0][..], &[b'a'; 200]].concat()).to_vec();
-    play("endless-bodies", Form { head: check_head(), body, reads: true });
+    play("endless-bodies", Form { head: check_head(), body, reads: true, window: DEFAULT_WINDOW });
 }
 
 /// Guards against whole checks whose answers are not read.
 #[test]
 fn answers_that_are_never_read_stay_within_the_memory_limit() {
     let body = |stream| data_frame(stream, END_STREAM, &message_body(b"unsound")).to_vec();
-    play("unread-answers", Form { head: padded_head(1000), body, reads: false });
+    play("unread-answers", Form { head: padded_head(1000), body, reads: false, window: DEFAULT_WINDOW });
 }
 
 #[test]
 fn heads_of_callers_that_never_read_stay_within_the_memory_limit() {
-    play("never-read", Form { head: padded_head(1000), body: no_body, reads: false });
+    play("never-read", Form { head: padded_head(1000), body: no_body, reads: false, window: DEFAULT_WINDOW });
+}
+
+/// Guards against answers that wait for room that their callers do not give. Most deny the check, as it is beyond its
+/// customer's quota.
+#[test]
+fn answers_that_are_given_no_window_stay_within_the_memory_limit() {
+    let body =
+        |stream| data_frame(stream, END_STREAM, &message_body(&check_of("Almaty-8", "academy"))).to_vec();
+    play("no-window", Form { head: check_head(), body, reads: true, window: 0 });
 }
--- a/tests/stand_ins/raw_http2.rs
+++ b/tests/stand_ins/raw_http2.rs
@@ -8,13 +8,18 @@
 const DATA: u8 = 0;
 const HEADERS: u8 = 1;
 const SETTINGS: u8 = 4;
+const INITIAL_WINDOW_SIZE: u16 = 4;
+/// The window of a stream unless its client says otherwise, in bytes.
+pub const DEFAULT_WINDOW: u32 = 65_535;
 /// Values of a length octet of HPACK from here on are followed by further octets.
 const MAX_SHORT_LENGTH: usize = 127;
 
-/// The preface of a client and its settings.
-pub fn opening() -> Vec<u8> {
+/// The preface of a client and its settings, in which a stream may be sent `window` bytes before its client allows more.
+pub fn opening(window: u32) -> Vec<u8> {
+    let mut settings = INITIAL_WINDOW_SIZE.to_be_bytes().to_vec();
+    settings.extend(window.to_be_bytes());
     let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
-    bytes.extend(frame(SETTINGS, 0, 0, &[]));
+    bytes.extend(frame(SETTINGS, 0, 0, &settings));
     bytes
 }
 
