Draw callers that the authorisation front has to hold into the soak

Change: a quarter of the seeds are followed by 4 s of the authorisation front with 32 MiB: callers whose heads, bodies, windows and reading are drawn, beside usual checks. Memory and answers in time are checked.

--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -59,7 +59,7 @@
         #[arg(long, default_value_t = 50)]
         seeds: u64,
     },
-    /// Execute the program, which is killed when the process that started this one ends.
+    /// Execute a program with its arguments, which is killed when the process that started this one ends.
     #[command(hide = true)]
     Guard,
     /// Run a small fleet until this process is told to end.
@@ -165,8 +165,13 @@
             faults.join(", "),
             report.soak.calls.len()
         );
-        report.violations.iter().for_each(|violation| println!("  BROKEN {violation}"));
-        broken += u64::from(!report.violations.is_empty());
+        let mut violations = report.violations;
+        if let Some(authz) = report.authz {
+            println!("  authorisation front: {} KiB; {:?}", authz.peak_kib, authz.soak);
+            violations.extend(authz.violations);
+        }
+        violations.iter().for_each(|violation| println!("  BROKEN {violation}"));
+        broken += u64::from(!violations.is_empty());
     }
     println!("{} of {seeds} seeds passed", seeds - broken);
     Ok(broken == 0)
@@ -201,7 +206,9 @@
     let kill = rustix::process::Signal::KILL;
     let result = rustix::process::set_parent_process_death_signal(Some(kill)).map_err(std::io::Error::from);
     let error = match (result, std::env::args_os().nth(2)) {
-        (Ok(()), Some(program)) => std::process::Command::new(program).exec(),
+        (Ok(()), Some(program)) => {
+            std::process::Command::new(program).args(std::env::args_os().skip(3)).exec()
+        }
         (Err(e), _) => e,
         (_, None) => std::io::Error::other("guard: no program is given"),
     };
--- a/trials/src/soak/mod.rs
+++ b/trials/src/soak/mod.rs
@@ -1,6 +1,7 @@
 //! A soak: for each seed a process with small limits, clients that misbehave in the ways of past incidents, usual clients
 //! beside them, signals, and an operator's calls. It checks memory, answers in time, answers that are cut off, and requests that run twice.
 
+pub mod authz;
 pub mod clients;
 pub mod draw;
 pub mod operator;
@@ -8,6 +9,7 @@
 
 use crate::check::check;
 use crate::rig::Rig;
+use authz::{AuthzReport, AuthzSoak};
 use clients::Clients;
 use draw::Soak;
 use operator::Operator;
@@ -32,6 +34,8 @@
     pub violations: Vec<String>,
     /// The highest memory of all processes of the ingress and of their sockets together, in KiB.
     pub peak_kib: usize,
+    /// What a soak of the authorisation front found that followed, if the seed has one.
+    pub authz: Option<AuthzReport>,
 }
 
 /// Plays the soak of a seed.
@@ -84,7 +88,12 @@
     if peak.get() > limit {
         violations.push(format!("{} KiB of memory, of {limit} allowed", peak.get()));
     }
-    Ok(Report { violations, peak_kib: peak.get(), soak })
+    drop(rig);
+    let authz = match AuthzSoak::draw(seed) {
+        Some(soak) => Some(authz::play(program, soak).await?),
+        None => None,
+    };
+    Ok(Report { violations, peak_kib: peak.get(), authz, soak })
 }
 
 /// Records the highest sum of the memory of the ingress's processes and of what the system holds for their sockets.
