--- a/tests/operator_changes.rs
+++ b/tests/operator_changes.rs
@@ -375,26 +375,21 @@
     local(async {
         let site = site("cut").await;
         let mut old = site.start(0).await;
-        let folder = site.folder.join("new");
-        std::fs::create_dir(&folder).unwrap();
-        let at = folder.join(site.file("next").file_name().unwrap());
-        let relay = LinkRelay::start(&at, &site.file("next"), |_| false);
-        let mut new = site.spawn_in(&folder, 1);
-        new.serving().await;
-        until(|| at.exists()).await;
-        ready(site.admin[1]).await;
-        // In one folder the new process's socket stands in place of the old one's.
-        std::fs::remove_file(site.file("next")).unwrap();
-        std::os::unix::fs::symlink(&at, site.file("next")).unwrap();
+        let relay = LinkRelay::in_place_of(&site.file("next"), |_| false);
+        let mut new = site.start(1).await;
         relay.cut();
         old.wait_for_log("another process serves at this address").await;
         ok_call(site.admin[1], "disable-server s1").await;
         let answer = call(site.admin[0], "disable-server s2\n").await;
         assert_eq!(answer, "fail another process serves at this address; call that one\n");
         assert_eq!(used(&site).await, [false, true]);
+        let follows = async { while figures(site.admin[0]).await["svc_members_unavailable"] != 1 {} };
+        timeout(Duration::from_secs(2), follows).await.expect("the old process follows the file");
         new.child.kill().unwrap();
         new.end().await;
         old.wait_for_log("serving again").await;
+        assert_eq!(used(&site).await, [false, true]);
+        ok_call(site.admin[0], "enable-server s1").await;
         ok_call(site.admin[0], "disable-server s2").await;
         let third = site.start(2).await;
         assert_eq!(call(site.admin[0], "ready\n").await, "fail not ready\n", "the third has taken over");
--- a/tests/stand_ins/link_relay.rs
+++ b/tests/stand_ins/link_relay.rs
@@ -62,6 +62,13 @@
         Self { held, cut, task }
     }
 
+    /// Takes the place of the process that listens at `path`, in the same folder.
+    pub fn in_place_of(path: &Path, is_held: IsHeld) -> Self {
+        let moved = path.with_extension("relayed");
+        std::fs::rename(path, &moved).unwrap();
+        Self::start(path, &moved, is_held)
+    }
+
     /// Waits until a frame is held back.
     pub async fn holds(&self) {
         self.held.wait_until(|held| held.is_held.get()).await;
