Share the drain's transition, the start of child processes and the callers of checks

Cause: the last read of the change found the same logic in more than one place: the transition of a drain in the operators' settings and in the cluster's transport; a child process with its file, and the guard that ends it, in the soak, the rig and the scale measurement; the start of a next process in two faults of the rig; the callers of the authorisation front in a test and in the soak; a relayed start in two tests. The start of an ingress matched on its predecessor twice.

--- a/src/admin/drain.rs
+++ b/src/admin/drain.rs
@@ -9,6 +9,17 @@
 /// balancer in front needs this time to notice that the instance is not ready.
 const ANNOUNCEMENT_TIME: Millis = 550.0;
 
+/// Begins or ends the drain of this instance. One that has begun already stays as it is.
+pub fn set_drained(drain: &watch::Sender<Drain>, drained: bool) {
+    drain.send_if_modified(|drain| {
+        let changes = (*drain != Drain::Inactive) != drained;
+        if changes {
+            *drain = if drained { Drain::Announced } else { Drain::Inactive };
+        }
+        changes
+    });
+}
+
 /// Starts the second step of each drain `ANNOUNCEMENT_TIME` after its announcement. Runs until the process
 /// ends.
 pub async fn close_after_announcement(drain: watch::Sender<Drain>, deadlines: Deadlines) {
--- a/src/cluster/transport.rs
+++ b/src/cluster/transport.rs
@@ -5,6 +5,7 @@
 use super::packet::{MAX_DATAGRAM, State};
 use super::report::state_name;
 use super::{Action, Cluster};
+use crate::admin::drain::set_drained;
 use crate::deadlines::Deadlines;
 use crate::files::RetriedFile;
 use crate::interface::Millis;
@@ -128,8 +129,7 @@
         let drained = cluster.notices().is_active(&local);
         drop(cluster);
         if drained {
-            self.drain
-                .send_if_modified(|drain| std::mem::replace(drain, announced(*drain)) == Drain::Inactive);
+            set_drained(&self.drain, true);
         } else if *self.drain.borrow() != Drain::Inactive {
             self.publish_drain(true, &mut Vec::new());
         }
@@ -146,7 +146,7 @@
                 cluster.publish(now, subject, active, actions);
                 drop(cluster);
                 if is_local {
-                    self.set_drain(active);
+                    set_drained(&self.drain, active);
                 }
             }
             LocalNotice::Restored(disabled) => cluster.restore(now, Vec::new(), disabled),
@@ -163,17 +163,6 @@
         }
     }
 
-    /// Begins or ends the drain of this instance.
-    fn set_drain(&self, active: bool) {
-        self.drain.send_if_modified(|drain| {
-            let changes = (*drain != Drain::Inactive) != active;
-            if changes {
-                *drain = if active { Drain::Announced } else { Drain::Inactive };
-            }
-            changes
-        });
-    }
-
     /// Saves the notices for the next process if their digest differs from `saved_digest`.
     fn save(&self, saved_digest: &mut u32) {
         let cluster = self.cluster.borrow();
@@ -232,7 +221,7 @@
                     info!(self.log, "said at another door: an ingress is"; "name" => &name,
                         "state" => if drained { "drained" } else { "drained no more" });
                     if name == self.cluster.borrow().local().name {
-                        self.set_drain(drained);
+                        set_drained(&self.drain, drained);
                     }
                 }
                 Action::Conflict(id) => {
@@ -246,8 +235,3 @@
         }
     }
 }
-
-/// Returns the drain of an instance that is drained by a notice; one that has begun already stays.
-fn announced(drain: Drain) -> Drain {
-    if drain == Drain::Inactive { Drain::Announced } else { drain }
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -610,21 +610,24 @@
         listener: outgoing_listener,
         peers: outgoing_peers,
     };
-    let is_silent = matches!(predecessor, Predecessor::Silent(_));
-    match predecessor {
-        Predecessor::None => core.replication.settings().forget_drain(),
-        Predecessor::Silent(_) => core.replication.settings().restore_drain(),
-        Predecessor::Linked(_) => {}
-    }
-    let claimed = path.as_deref().filter(|_| is_silent).and_then(|path| Rendezvous::listen(path).ok());
     let able = watch::Sender::new(false);
-    match (predecessor, &path) {
+    let settings = core.replication.settings();
+    let claimed = match (predecessor, &path) {
         (Predecessor::Linked(link), Some(path)) => {
             spawn_local(handover.clone().take_over(link, path.clone(), able.subscribe()));
+            None
         }
-        (Predecessor::Silent(link), _) => drop(spawn_local(handover.clone().await_silent(link))),
-        _ => {}
-    }
+        (Predecessor::Silent(link), Some(path)) => {
+            settings.restore_drain();
+            spawn_local(handover.clone().await_silent(link));
+            Rendezvous::listen(path).ok()
+        }
+        // A drain ends with the last process at an address.
+        _ => {
+            settings.save_drain();
+            None
+        }
+    };
     let mut role = core.role.subscribe();
     let start_handover = move || {
         able.send_replace(true);
--- a/src/upgrade/replication.rs
+++ b/src/upgrade/replication.rs
@@ -128,7 +128,8 @@
                 Leader::This => self.lead_change(change, expires_at).await,
                 Leader::Predecessor => self.submit(Side::Predecessor, change, expires_at).await,
                 Leader::Successor => self.submit(Side::Successor, change, expires_at).await,
-                Leader::Elsewhere | Leader::Unknown => return Err(ChangeError::Superseded),
+                Leader::Elsewhere => return Err(ChangeError::Superseded),
+                Leader::Unknown => return Err(ChangeError::NoLeader),
             };
             if let Some(result) = carried_out {
                 return result;
--- a/src/upgrade/settings.rs
+++ b/src/upgrade/settings.rs
@@ -2,6 +2,7 @@
 
 use super::change::{Change, OperatorState};
 use crate::admin::command::CommandError;
+use crate::admin::drain::set_drained;
 use crate::backends::maintenance::{decode_disabled, encode_disabled};
 use crate::cluster::Cluster;
 use crate::cluster::notices::{LocalNotice, MAX_SUBJECT, Subject};
@@ -49,13 +50,8 @@
         let operation = match change {
             Change::DisableBackend(name) => Operation::Disable(name.clone()),
             Change::EnableBackend(name) => Operation::Enable(name.clone()),
-            Change::Drain => {
-                self.set_drain(true);
-                self.save_drain();
-                return Ok(());
-            }
-            Change::Resume => {
-                self.set_drain(false);
+            Change::Drain | Change::Resume => {
+                set_drained(&self.drain, *change == Change::Drain);
                 self.save_drain();
                 return Ok(());
             }
@@ -71,8 +67,7 @@
         let operation = match change {
             Change::DisableBackend(name) => Operation::Follow(name.clone(), true),
             Change::EnableBackend(name) => Operation::Follow(name.clone(), false),
-            Change::Drain => return self.set_drain(true),
-            Change::Resume => return self.set_drain(false),
+            Change::Drain | Change::Resume => return set_drained(&self.drain, *change == Change::Drain),
             // The notice that the other process publishes reaches the ingress.
             Change::DrainIngress(..) => return,
         };
@@ -89,21 +84,16 @@
     /// Puts the state of the process that leads in force.
     pub(super) async fn replace(&self, state: OperatorState) {
         let _: OperationResult = (self.engine)(Operation::Replace(state.disabled)).await;
-        self.set_drain(state.drained);
+        set_drained(&self.drain, state.drained);
     }
 
     /// Restores the drain of the process before this one, which runs and does not answer.
     pub fn restore_drain(&self) {
         if self.files.as_ref().is_some_and(|files| files.drained.exists()) {
-            self.set_drain(true);
+            set_drained(&self.drain, true);
         }
     }
 
-    /// Removes what tells of the drain of a process that has ended: a drain ends with the last process at an address.
-    pub fn forget_drain(&self) {
-        self.save_drain();
-    }
-
     /// Has the files tell what is in force here, as this process leads from now on.
     pub(super) async fn save(&self) {
         let disabled = self.state().await.disabled;
@@ -139,7 +129,8 @@
         }
     }
 
-    fn save_drain(&self) {
+    /// Has the file tell whether this instance is drained.
+    pub fn save_drain(&self) {
         let Some(files) = &self.files else { return };
         // The file matters only where this process hangs when the next one starts, so a failure is not tried again.
         let _: io::Result<()> = match *self.drain.borrow() {
@@ -148,17 +139,6 @@
         };
     }
 
-    /// Begins or ends the drain of this instance.
-    fn set_drain(&self, drained: bool) {
-        self.drain.send_if_modified(|drain| {
-            let changes = (*drain != Drain::Inactive) != drained;
-            if changes {
-                *drain = if drained { Drain::Announced } else { Drain::Inactive };
-            }
-            changes
-        });
-    }
-
     /// Publishes a notice that an ingress is drained or resumed. The ingress learns of it by the notice, as all others
     /// do.
     fn drain_ingress(&self, name: &str, drained: bool) -> Result<(), String> {
--- a/tests/authz_memory.rs
+++ b/tests/authz_memory.rs
@@ -6,15 +6,13 @@
 use bytes::Bytes;
 use prost::Message;
 use stand_ins::admin::figures;
+use stand_ins::check_callers::*;
 use stand_ins::program::Program;
 use stand_ins::raw_http2::*;
 use stand_ins::*;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, spawn_local};
 use weldhub::fronts::ext_authz::authorisers::{call, open};
 use weldhub::fronts::ext_authz::proto::*;
@@ -35,15 +33,7 @@
 const RELEASE_TIME: Duration = Duration::from_millis(1500);
 
 /// What a bad caller sends on each of its streams.
-struct Form {
-    head: Vec<u8>,
-    /// The frames that follow the head of a stream.
-    body: fn(u32) -> Vec<u8>,
-    /// Whether the caller reads what it is sent.
-    reads: bool,
-    /// The bytes of an answer that the caller takes.
-    window: u32,
-}
+type Form = BadCaller<fn(u32) -> Vec<u8>>;
 
 /// A head with a field of this many bytes.
 fn padded_head(bytes: usize) -> Vec<u8> {
@@ -56,24 +46,6 @@
     Vec::new()
 }
 
-/// A message with its prefix, as a gRPC body.
-fn message_body(message: &[u8]) -> Vec<u8> {
-    let mut body = vec![0];
-    body.extend((message.len() as u32).to_be_bytes());
-    body.extend(message);
-    body
-}
-
-/// A check for a customer of this name and plan.
-fn check_of(customer: &str, plan: &str) -> Bytes {
-    let headers = [("x-club", customer), ("x-tier", plan)];
-    let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
-    let http = HttpRequest { method: "GET".into(), path: "/api/boards/17".into(), headers, header_map: None };
-    let request = Some(Request { http: Some(http) });
-    let attributes = AttributeContext { request, context_extensions: BTreeMap::new() };
-    CheckRequest { attributes: Some(attributes) }.encode_to_vec().into()
-}
-
 /// A process with an authoriser that allows all checks.
 struct Site {
     program: Program,
@@ -108,7 +80,9 @@
         let form = Rc::new(form);
         let mut bad: Vec<JoinHandle<()>> = Vec::new();
         for _ in 0..BAD_CALLERS {
-            bad.push(spawn_local(send_badly(self.listen, form.clone(), end)));
+            let (form, listen, stay) =
+                (form.clone(), self.listen, end.saturating_duration_since(Instant::now()));
+            bad.push(spawn_local(async move { form.call(listen, stay).await }));
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         for caller in usual {
@@ -154,28 +128,6 @@
     (answered, slowest)
 }
 
-/// Opens streams in this form on one connection, and stays.
-async fn send_badly(listen: SocketAddr, form: Rc<Form>, end: Instant) {
-    let Ok(stream) = TcpStream::connect(listen).await else { return };
-    let (mut reader, mut writer) = stream.into_split();
-    let writing = async {
-        writer.write_all(&opening(form.window)).await?;
-        for n in 0..STREAMS {
-            let stream = 2 * n + 1;
-            writer.write_all(&head_frame(stream, &form.head)).await?;
-            writer.write_all(&(form.body)(stream)).await?;
-        }
-        std::future::pending::<std::io::Result<()>>().await
-    };
-    let reading = async {
-        let mut bytes = [0; 4096];
-        while form.reads && reader.read(&mut bytes).await.is_ok_and(|n| n > 0) {}
-        std::future::pending::<()>().await
-    };
-    let stay = end.saturating_duration_since(Instant::now());
-    let _ = tokio::time::timeout(stay, async { tokio::join!(writing, reading) }).await;
-}
-
 fn play(name: &'static str, form: Form) {
     local(async move { Site::start(name).await.check(form).await });
 }
@@ -183,14 +135,23 @@
 /// Guards against streams that each take kilobytes however short their heads are.
 #[test]
 fn many_short_heads_stay_within_the_memory_limit() {
-    play("short-heads", Form { head: check_head(), body: no_body, reads: true, window: DEFAULT_WINDOW });
+    play(
+        "short-heads",
+        Form { streams: STREAMS, head: check_head(), body: no_body, reads: true, window: DEFAULT_WINDOW },
+    );
 }
 
 #[test]
 fn long_heads_stay_within_the_memory_limit() {
     play(
         "long-heads",
-        Form { head: padded_head(15_000), body: no_body, reads: true, window: DEFAULT_WINDOW },
+        Form {
+            streams: STREAMS,
+            head: padded_head(15_000),
+            body: no_body,
+            reads: true,
+            window: DEFAULT_WINDOW,
+        },
     );
 }
 
@@ -201,26 +162,41 @@
     for n in 0..400 {
         put_field(&mut head, &format!("{n:x}"), b"");
     }
-    play("many-fields", Form { head, body: no_body, reads: true, window: DEFAULT_WINDOW });
+    play("many-fields", Form { streams: STREAMS, head, body: no_body, reads: true, window: DEFAULT_WINDOW });
 }
 
 /// Guards against a message that claims to be long, of which a part comes.
 #[test]
 fn bodies_that_never_end_stay_within_the_memory_limit() {
     let body = |stream| data_frame(stream, 0, &[&[0, 0, 1, 0, 0][..], &[b'a'; 200]].concat()).to_vec();
-    play("endless-bodies", Form { head: check_head(), body, reads: true, window: DEFAULT_WINDOW });
+    play(
+        "endless-bodies",
+        Form { streams: STREAMS, head: check_head(), body, reads: true, window: DEFAULT_WINDOW },
+    );
 }
 
 /// Guards against whole checks whose answers are not read.
 #[test]
 fn answers_that_are_never_read_stay_within_the_memory_limit() {
     let body = |stream| data_frame(stream, END_STREAM, &message_body(b"unsound")).to_vec();
-    play("unread-answers", Form { head: padded_head(1000), body, reads: false, window: DEFAULT_WINDOW });
+    play(
+        "unread-answers",
+        Form { streams: STREAMS, head: padded_head(1000), body, reads: false, window: DEFAULT_WINDOW },
+    );
 }
 
 #[test]
 fn heads_of_callers_that_never_read_stay_within_the_memory_limit() {
-    play("never-read", Form { head: padded_head(1000), body: no_body, reads: false, window: DEFAULT_WINDOW });
+    play(
+        "never-read",
+        Form {
+            streams: STREAMS,
+            head: padded_head(1000),
+            body: no_body,
+            reads: false,
+            window: DEFAULT_WINDOW,
+        },
+    );
 }
 
 /// Guards against answers that wait for room that their callers do not give. Most deny the check, as it is beyond its
@@ -229,5 +205,5 @@
 fn answers_that_are_given_no_window_stay_within_the_memory_limit() {
     let body =
         |stream| data_frame(stream, END_STREAM, &message_body(&check_of("Almaty-8", "academy"))).to_vec();
-    play("no-window", Form { head: check_head(), body, reads: true, window: 0 });
+    play("no-window", Form { streams: STREAMS, head: check_head(), body, reads: true, window: 0 });
 }
--- a/tests/operator_changes.rs
+++ b/tests/operator_changes.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use stand_ins::admin::*;
 use stand_ins::ingress::*;
-use stand_ins::link_relay::LinkRelay;
+use stand_ins::link_relay::{IsHeld, LinkRelay};
 use stand_ins::program::Program;
 use stand_ins::site::Site;
 use stand_ins::*;
@@ -86,6 +86,20 @@
     status(&get(site.at, "/ready").await) == 200
 }
 
+/// Returns which backends are used, and whether `GET /ready` says yes.
+async fn seen(site: &Site) -> ([bool; 2], bool) {
+    (used(site).await, is_in_rotation(site).await)
+}
+
+/// Starts process 1 in a folder of its own, with a relay on its link to process 0.
+fn spawn_relayed(site: &Site, is_held: IsHeld) -> (Program, LinkRelay) {
+    let folder = site.folder.join("new");
+    std::fs::create_dir(&folder).unwrap();
+    let at = folder.join(site.file("next").file_name().unwrap());
+    let relay = LinkRelay::start(&at, &site.file("next"), is_held);
+    (site.spawn_in(&folder, 1), relay)
+}
+
 /// Guards against the loss of a call that the new process answered `ok` before it took over (`review/9`).
 #[test]
 fn calls_at_the_new_process_before_it_takes_over_hold_from_their_answer_on() {
@@ -102,13 +116,13 @@
         ok_call(new, "resume").await;
         assert_eq!(call(new, "disable-server nobody\n").await, "fail no such server\n");
         assert_eq!(call(new, "ready\n").await, "fail not ready\n", "all calls came before the takeover");
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true), "the old one");
+        assert_eq!(seen(&site).await, ([false, true], true), "the old one");
         ready(new).await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true), "the new one");
+        assert_eq!(seen(&site).await, ([false, true], true), "the new one");
         old.signal("TERM");
         drop(old);
         ok_call(new, "drain").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], false));
+        assert_eq!(seen(&site).await, ([false, true], false));
     });
 }
 
@@ -126,7 +140,7 @@
         old.child.kill().unwrap();
         old.end().await;
         ready(site.admin[1]).await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        assert_eq!(seen(&site).await, ([true, false], false));
     });
 }
 
@@ -137,11 +151,7 @@
         let site = site("instant").await;
         let mut old = site.start(0).await;
         ok_call(site.admin[0], "drain").await;
-        let folder = site.folder.join("new");
-        std::fs::create_dir(&folder).unwrap();
-        let at = folder.join(site.file("next").file_name().unwrap());
-        let relay = LinkRelay::start(&at, &site.file("next"), |frame| matches!(frame, Frame::State { .. }));
-        let mut new = site.spawn_in(&folder, 1);
+        let (mut new, relay) = spawn_relayed(&site, |frame| matches!(frame, Frame::State { .. }));
         relay.holds().await;
         let calls = [
             (0, "disable-server s1\n"),
@@ -160,7 +170,7 @@
             assert_eq!(answer.await.unwrap(), "ok\n");
         }
         ready(site.admin[1]).await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true));
+        assert_eq!(seen(&site).await, ([false, true], true));
         // What is called once the new process serves reaches an old one that serves again.
         ok_call(site.admin[0], "drain").await;
         ok_call(site.admin[1], "enable-server s1").await;
@@ -168,7 +178,7 @@
         new.child.kill().unwrap();
         new.end().await;
         old.wait_for_log("serving again").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        assert_eq!(seen(&site).await, ([true, false], false));
     });
 }
 
@@ -193,13 +203,13 @@
         old.wait_for_log("a change of the process that leads is followed").await;
         assert!(called.await.unwrap().starts_with("ok"), "it reaches the process that leads");
         ready(site.admin[1]).await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        assert_eq!(seen(&site).await, ([true, false], false));
         // The old one follows, so it goes on with what the new one had, should that end.
         ok_call(site.admin[1], "resume").await;
         new.child.kill().unwrap();
         new.end().await;
         old.wait_for_log("serving again").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], true));
+        assert_eq!(seen(&site).await, ([true, false], true));
     });
 }
 
@@ -261,7 +271,7 @@
             assert_eq!(answer, "fail no answer in time from the process that serves\n");
         }
         new.signal("CONT");
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, true], true));
+        assert_eq!(seen(&site).await, ([true, true], true));
         new.signal("STOP");
         let called = tokio::join!(call(site.admin[0], "disable-server s1\n"), async {
             sleep(Duration::from_millis(100)).await;
@@ -269,7 +279,7 @@
         });
         assert_eq!(called.0, "ok\n", "the old process leads again in time");
         old.wait_for_log("serving again").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true));
+        assert_eq!(seen(&site).await, ([false, true], true));
     });
 }
 
@@ -295,7 +305,7 @@
         new.child.kill().unwrap();
         new.end().await;
         old.wait_for_log("serving again").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], false));
+        assert_eq!(seen(&site).await, ([false, true], false));
     });
 }
 
@@ -316,12 +326,12 @@
         };
         agree(1).await;
         ready(site.admin[2]).await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], false));
+        assert_eq!(seen(&site).await, ([false, true], false));
         ok_call(site.admin[0], "enable-server s1").await;
         ok_call(site.admin[0], "resume").await;
         ok_call(site.admin[1], "disable-server s2").await;
         agree(1).await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], true));
+        assert_eq!(seen(&site).await, ([true, false], true));
         // The middle one hangs: the one that serves decides all the same.
         second.signal("STOP");
         ok_call(site.admin[2], "drain").await;
@@ -329,13 +339,13 @@
         third.child.kill().unwrap();
         third.end().await;
         second.wait_for_log("serving again").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        assert_eq!(seen(&site).await, ([true, false], false));
         ok_call(site.admin[0], "enable-server s2").await;
         ok_call(site.admin[0], "disable-server s1").await;
         second.child.kill().unwrap();
         second.end().await;
         first.wait_for_log("serving again").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], false));
+        assert_eq!(seen(&site).await, ([false, true], false));
     });
 }
 
@@ -403,11 +413,7 @@
     local(async {
         let site = site("cut-early").await;
         let old = site.start(0).await;
-        let folder = site.folder.join("new");
-        std::fs::create_dir(&folder).unwrap();
-        let at = folder.join(site.file("next").file_name().unwrap());
-        let relay = LinkRelay::start(&at, &site.file("next"), |_| false);
-        let new = site.spawn_in(&folder, 1);
+        let (new, relay) = spawn_relayed(&site, |_| false);
         answers_operators(site.admin[1]).await;
         relay.cut();
         ok_call(site.admin[1], "disable-server s1").await;
@@ -415,7 +421,7 @@
         ready(site.admin[1]).await;
         assert_eq!(call(site.admin[0], "ready\n").await, "fail not ready\n", "one process serves");
         ok_call(site.admin[0], "resume").await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true));
+        assert_eq!(seen(&site).await, ([false, true], true));
         drop((old, new));
     });
 }
@@ -492,7 +498,7 @@
         let engine = EngineState { disabled: vec!["s2".into()], ..EngineState::default() };
         old.send(Frame::State { engine, drained: true, backend_connections: 0 }).await;
         new.serving().await;
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([true, false], false));
+        assert_eq!(seen(&site).await, ([true, false], false));
         let admin = site.admin[1];
         let called = spawn_local(async move { call(admin, "enable-server s2\n").await });
         let Frame::Operate(number, operation) = old.expect().await else { panic!("another frame") };
@@ -503,7 +509,7 @@
         assert_eq!(old.expect().await, Frame::Drain(false));
         old.send(Frame::Operate(7, BackendOperation::Disable("s1".into()))).await;
         while old.expect().await != Frame::OperationDone(7) {}
-        assert_eq!((used(&site).await, is_in_rotation(&site).await), ([false, true], true));
+        assert_eq!(seen(&site).await, ([false, true], true));
     });
 }
 
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod build;
+pub mod check_callers;
 pub mod consul;
 pub mod full_backlog;
 pub mod ingress;
--- a/trials/src/lib.rs
+++ b/trials/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admin;
 pub mod check;
+mod configured_child;
 pub mod fault_proxy;
 pub mod paced;
 pub mod relay;
--- a/trials/src/rig.rs
+++ b/trials/src/rig.rs
@@ -5,6 +5,7 @@
 
 use crate::admin::{admin_call, parse_members, parse_notices, parse_recovery};
 use crate::check::{BackendCommand, Outcome, StateChange};
+use crate::configured_child::guarded;
 use crate::fault_proxy::{FaultProxy, Impairment};
 use crate::relay::{Network, Relay};
 use crate::script::{ConnectionFault, FaultKind, LinkConditions, LogTarget, QuotaSharing, Script};
@@ -17,7 +18,7 @@
 use std::io::{self, PipeReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::task::spawn_local;
@@ -272,10 +273,7 @@
         let process = &mut self.processes[n];
         std::fs::write(&process.config_path, self.configs[n].to_string())?;
         let log = open_log(self.log, &self.folder.join(format!("n{n}.log")), &mut self.unread_logs)?;
-        // `guard` makes the kernel kill the program when this process ends, also by SIGKILL.
-        let child = Command::new(std::env::current_exe()?)
-            .arg("guard")
-            .arg(&self.program)
+        let child = guarded(&self.program)?
             .env("RELAY_CONFIG", &process.config_path)
             .env("TMPDIR", &self.folder)
             .stdin(Stdio::null())
@@ -286,6 +284,15 @@
         Ok(process.child.replace(child))
     }
 
+    /// Starts the next process of an ingress, with an admin interface of its own, and returns the one before it.
+    fn spawn_next(&mut self, n: usize) -> io::Result<Option<Child>> {
+        let admin_address = free_tcp_addresses(self.loopback_ip, 1)?[0];
+        self.configs[n]["management"] = json!(admin_address.to_string());
+        let old = self.spawn(n)?;
+        self.admin_addresses.borrow_mut()[n] = admin_address;
+        Ok(old)
+    }
+
     /// Waits until an ingress reports that it is ready to serve.
     async fn wait_ready(&self, n: usize) -> Result<(), String> {
         let end = Instant::now() + PROCESS_TIMEOUT;
@@ -439,10 +446,7 @@
             }
             FaultKind::Upgrade(ingresses) if begins => {
                 for n in ingresses {
-                    let admin_address = free_tcp_addresses(self.loopback_ip, 1).map_err(message)?[0];
-                    self.configs[*n]["management"] = json!(admin_address.to_string());
-                    let old = self.spawn(*n).map_err(message)?;
-                    self.admin_addresses.borrow_mut()[*n] = admin_address;
+                    let old = self.spawn_next(*n).map_err(message)?;
                     self.wait_ready(*n).await?;
                     if let Some(old) = old {
                         send_signal(&old, Signal::TERM).map_err(message)?;
@@ -498,10 +502,7 @@
     /// Starts the next process of an ingress and kills it after some time. The old one goes on.
     async fn break_upgrade(&mut self, n: usize, after: Duration) -> io::Result<()> {
         let old_address = self.admin_address(n);
-        let new_address = free_tcp_addresses(self.loopback_ip, 1)?[0];
-        self.configs[n]["management"] = json!(new_address.to_string());
-        let old = self.spawn(n)?;
-        self.admin_addresses.borrow_mut()[n] = new_address;
+        let old = self.spawn_next(n)?;
         sleep(after).await;
         if let Some(mut new) = std::mem::replace(&mut self.processes[n].child, old) {
             new.kill()?;
--- a/trials/src/scale/process.rs
+++ b/trials/src/scale/process.rs
@@ -4,11 +4,12 @@
 use super::fixture::full_list_line;
 use super::pipeline::SubsetSize;
 use super::slope::{Dimension, Slope};
+use crate::configured_child::{ConfiguredChild, guarded};
 use serde_json::json;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -34,20 +35,6 @@
     rest_cpu_share: f64,
 }
 
-/// A running ingress and its configuration file. Kills the process and removes the file when dropped.
-struct IngressProcess {
-    child: Child,
-    config_file: PathBuf,
-}
-
-impl Drop for IngressProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config_file);
-    }
-}
-
 /// Starts the program with a list of each size and measures it; the names of the slopes end in `suffix`.
 ///
 /// # Errors
@@ -109,7 +96,7 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     subset_size: SubsetSize,
-) -> io::Result<IngressProcess> {
+) -> io::Result<ConfiguredChild> {
     let mut config = json!({
         "name": "real", "listen": listen.to_string(), "discovery": discovery.to_string(),
         "settings": {
@@ -129,15 +116,12 @@
     }
     let config_file = std::env::temp_dir().join(format!("weldhub-scale-{}.json", listen.port()));
     std::fs::write(&config_file, config.to_string())?;
-    // The guard subcommand makes the program exit with this process, even on SIGKILL.
-    let child = Command::new(std::env::current_exe()?)
-        .arg("guard")
-        .arg(program)
+    let child = guarded(program)?
         .env("RELAY_CONFIG", &config_file)
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()?;
-    Ok(IngressProcess { child, config_file })
+    Ok(ConfiguredChild { child, config_file })
 }
 
 /// Answers the discovery watch: a full list, then heartbeats until the connection breaks.
--- a/trials/src/soak/authz.rs
+++ b/trials/src/soak/authz.rs
@@ -1,12 +1,16 @@
 //! A soak of the authorisation front: callers that make it hold what they send, in forms drawn by seed, and usual ones
 //! beside them. It checks memory and that usual checks are answered in time.
 
+#[path = "../../../tests/stand_ins/check_callers.rs"]
+mod check_callers;
 #[allow(dead_code)]
 #[path = "../../../tests/stand_ins/raw_http2.rs"]
 mod raw_http2;
 
 use super::resident_kib;
+use crate::configured_child::{ConfiguredChild, guarded};
 use bytes::Bytes;
+use check_callers::{BadCaller, check_of, message_body};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -15,25 +19,21 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use prost::Message;
-use raw_http2::{DEFAULT_WINDOW, END_STREAM, check_head, data_frame, head_frame, opening, put_field};
+use raw_http2::{DEFAULT_WINDOW, END_STREAM, check_head, data_frame, put_field};
 use serde_json::json;
 use std::cell::Cell;
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
+use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 use weldhub::fronts::ext_authz::authorisers::{call, open};
-use weldhub::fronts::ext_authz::proto::{
-    AttributeContext, CheckRequest, CheckResponse, HttpRequest, HttpResponse, Request as CheckedRequest,
-};
+use weldhub::fronts::ext_authz::proto::{CheckResponse, HttpResponse};
 
 /// Separates the draws of this soak from those of the platform's.
 const AUTHZ_DRAWS: u64 = 0xa072;
@@ -127,33 +127,30 @@
         head
     }
 
-    fn body_frame(&self, stream: u32) -> Vec<u8> {
+    fn body_frame(self, stream: u32) -> Vec<u8> {
         match self.body {
             BodyForm::None => Vec::new(),
             BodyForm::Part => {
                 let claimed = [0, 0, 1, 0, 0];
                 data_frame(stream, 0, &[&claimed[..], &[b'a'; 200]].concat()).to_vec()
             }
-            BodyForm::Unsound => data_frame(stream, END_STREAM, b"\0\0\0\0\x07unsound").to_vec(),
+            BodyForm::Unsound => data_frame(stream, END_STREAM, &message_body(b"unsound")).to_vec(),
         }
     }
+
+    /// Returns a bad caller of this form.
+    fn caller(self) -> BadCaller<impl Fn(u32) -> Vec<u8>> {
+        let body = move |stream| self.body_frame(stream);
+        BadCaller { streams: self.streams, head: self.head(), body, reads: self.reads, window: self.window }
+    }
 }
 
-/// The process, killed on drop, with its configuration file.
+/// The process, and the address at which it takes checks.
 struct Front {
-    child: Child,
-    config_path: PathBuf,
+    process: ConfiguredChild,
     listen: SocketAddr,
 }
 
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config_path);
-    }
-}
-
 impl Front {
     /// Starts the process, and waits until it accepts connections.
     async fn start(program: &Path, consul: SocketAddr) -> Result<Self, String> {
@@ -167,20 +164,18 @@
             .replace("memory_mb = 192", &format!("memory_mb = {MEMORY_MIB}"))
             .replace("storeSize = 27.0", "storeSize = 1e6");
         let name = format!("weldhub-soak-authz-{}-{}.toml", std::process::id(), listen.port());
-        let config_path = std::env::temp_dir().join(name);
-        std::fs::write(&config_path, text).map_err(message)?;
-        // `guard` makes the kernel kill the program when this process ends.
-        let child = Command::new(std::env::current_exe().map_err(message)?)
-            .arg("guard")
-            .arg(program)
+        let config_file = std::env::temp_dir().join(name);
+        std::fs::write(&config_file, text).map_err(message)?;
+        let child = guarded(program)
+            .map_err(message)?
             .arg("--ext-authz")
-            .arg(&config_path)
+            .arg(&config_file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
             .map_err(message)?;
-        let front = Self { child, config_path, listen };
+        let front = Self { process: ConfiguredChild { child, config_file }, listen };
         let end = Instant::now() + START_TIMEOUT;
         while TcpStream::connect(listen).await.is_err() {
             if Instant::now() > end {
@@ -201,7 +196,7 @@
     let authoriser = start_authoriser().await.map_err(message)?;
     let consul = start_consul(authoriser).await.map_err(message)?;
     let front = Front::start(program, consul).await?;
-    let (peak, process) = (Rc::new(Cell::new(0)), front.child.id());
+    let (peak, process) = (Rc::new(Cell::new(0)), front.process.child.id());
     let highest = peak.clone();
     let memory = spawn_local(async move {
         loop {
@@ -211,9 +206,12 @@
     });
     let end = Instant::now() + STAY;
     let usual: Vec<_> = (0..USUAL_CALLERS).map(|_| spawn_local(send_checks(front.listen, end))).collect();
+    let caller = Rc::new(soak.caller());
     let mut bad = Vec::new();
     for _ in 0..soak.callers {
-        bad.push(spawn_local(send_badly(front.listen, soak, end)));
+        let (caller, listen, stay) =
+            (caller.clone(), front.listen, end.saturating_duration_since(Instant::now()));
+        bad.push(spawn_local(async move { caller.call(listen, stay).await }));
         sleep(Duration::from_millis(10)).await;
     }
     let mut violations = Vec::new();
@@ -237,7 +235,7 @@
         number += 1;
         let asked = async {
             let sender = open(listen).await.map_err(|e| e.to_string())?;
-            let mut request = tonic::Request::new(usual_check());
+            let mut request = tonic::Request::new(check_of("Almaty-7", "club"));
             let time = format!("{CHECK_TIMEOUT_MS}m").parse().map_err(|_| "no timeout")?;
             request.metadata_mut().insert("grpc-timeout", time);
             let answer = call(sender, listen, request).await.map_err(|(_, status)| status.to_string())?;
@@ -256,38 +254,6 @@
     None
 }
 
-fn usual_check() -> Bytes {
-    let headers = [("x-club", "Almaty-7"), ("x-tier", "club")];
-    let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned())).into();
-    let http = HttpRequest { method: "GET".into(), path: "/api/boards/17".into(), headers, header_map: None };
-    let request = Some(CheckedRequest { http: Some(http) });
-    let attributes = AttributeContext { request, context_extensions: BTreeMap::new() };
-    CheckRequest { attributes: Some(attributes) }.encode_to_vec().into()
-}
-
-/// Opens streams on one connection, and stays.
-async fn send_badly(listen: SocketAddr, soak: AuthzSoak, end: Instant) {
-    let Ok(stream) = TcpStream::connect(listen).await else { return };
-    let (mut reader, mut writer) = stream.into_split();
-    let head = soak.head();
-    let writing = async {
-        writer.write_all(&opening(soak.window)).await?;
-        for n in 0..soak.streams {
-            let stream = 2 * n + 1;
-            writer.write_all(&head_frame(stream, &head)).await?;
-            writer.write_all(&soak.body_frame(stream)).await?;
-        }
-        std::future::pending::<io::Result<()>>().await
-    };
-    let reading = async {
-        let mut bytes = [0; 4096];
-        while soak.reads && reader.read(&mut bytes).await.is_ok_and(|n| n > 0) {}
-        std::future::pending::<()>().await
-    };
-    let stay = end.saturating_duration_since(Instant::now());
-    let _ = timeout(stay, async { tokio::join!(writing, reading) }).await;
-}
-
 /// Starts an authoriser that allows every check; returns its address.
 async fn start_authoriser() -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/trials/src/soak/mod.rs
+++ b/trials/src/soak/mod.rs
@@ -1,5 +1,6 @@
 //! A soak: for each seed a process with small limits, clients that misbehave in the ways of past incidents, usual clients
-//! beside them, signals, and an operator's calls. It checks memory, answers in time, answers that are cut off, and requests that run twice.
+//! beside them, signals, and an operator's calls. It checks memory, answers in time, answers that are cut off, requests
+//! that run twice, and that operators' changes hold.
 
 pub mod authz;
 pub mod clients;
--- a/trials/src/soak/operator.rs
+++ b/trials/src/soak/operator.rs
@@ -118,7 +118,7 @@
         }
     }
 
-    /// Notes that what a call is about may have changed, unless the call asks for what holds already.
+    /// Notes that what a call is about may have changed.
     fn forget(&self, change: OperatorChange, now: i64, knowledge: &mut Knowledge) {
         match change {
             OperatorChange::Backend { backend, .. } => knowledge.end(backend, now),
@@ -130,7 +130,7 @@
     async fn watch_rotation(&self, knowledge: &Knowledge, until: u64, violations: &mut Vec<String>) {
         let until = self.start + Duration::from_millis(until);
         while Instant::now() + ROTATION_INTERVAL < until {
-            let Some((drained, since)) = knowledge.drained.filter(|_| Instant::now() < until) else { break };
+            let Some((drained, since)) = knowledge.drained else { break };
             if since.elapsed() > ROTATION_GRACE && self.is_in_rotation().await == Some(drained) {
                 let at = self.start.elapsed().as_millis();
                 violations.push(format!("{at} ms: drained is {drained}, and `/ready` says otherwise"));
